--- /dev/null
+++ b/cmd/lagoondev/main.go
@@ -0,0 +1,83 @@
+// Lagoondev runs the whole system in one process on embedded stand-ins.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonrack/examples"
+	"lagoonrack/internal/build"
+	"lagoonrack/internal/devel"
+	"lagoonrack/internal/logs"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "lagoondev:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "lagoondev",
+		Usage:   "run the whole system in one process on embedded stand-ins",
+		Version: build.Version(),
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "for", Usage: "drive an example load for this long, print a report and end"},
+			&cli.FloatFlag{Name: "rate", Value: 400, Usage: "requests a second to each service"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the load"},
+			&cli.StringFlag{Name: "log-format", Value: "text", Usage: "text or json"},
+			&cli.StringFlag{Name: "log-level", Value: "error", Usage: "debug, info, warning or error"},
+		},
+		Action: run,
+	}
+}
+
+// readyWithin bounds the start of the system.
+const readyWithin = 30 * time.Second
+
+func run(ctx context.Context, c *cli.Command) error {
+	log, err := logs.New(os.Stderr, c.String("log-format"), c.String("log-level"), "lagoondev")
+	if err != nil {
+		return err
+	}
+	s, err := devel.Start(examples.Source(), log)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	wait, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if err := s.Ready(wait); err != nil {
+		return err
+	}
+	printAddresses(s)
+	if c.Duration("for") == 0 {
+		fmt.Println("running; interrupt for a planned stop")
+		<-ctx.Done()
+		return nil
+	}
+	d := devel.Drive{System: s, For: c.Duration("for"), Rate: c.Float("rate"), Seed: c.Uint64("seed"), Out: os.Stdout}
+	return d.Run(ctx)
+}
+
+func printAddresses(s *devel.System) {
+	for _, o := range s.Sites {
+		fmt.Printf("site %s\n", o.Settings.Site)
+		for _, e := range o.Entries {
+			fmt.Printf("  callers http://%s/  operators %s  metrics http://%s/metrics\n", e.Caller(), e.Operator(), e.Operator())
+		}
+		for _, v := range o.Settings.Services {
+			fmt.Printf("  try: curl -i http://%s/%s/hello\n", o.Entries[0].Caller(), v.Name)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/lagoonload/main.go
@@ -0,0 +1,10 @@
+// Lagoonload drives load and runs experiments.
+package main
+
+import (
+	"os"
+
+	"lagoonrack/internal/loadcmd"
+)
+
+func main() { os.Exit(loadcmd.Main(os.Args)) }
--- /dev/null
+++ b/cmd/lagoonstand/main.go
@@ -0,0 +1,10 @@
+// Lagoonstand is a stand-in platform for tests and trials.
+package main
+
+import (
+	"os"
+
+	"lagoonrack/internal/prog"
+)
+
+func main() { os.Exit(prog.Platform().Main(os.Args)) }
--- /dev/null
+++ b/internal/cell/limits.go
@@ -0,0 +1,73 @@
+package cell
+
+import (
+	"time"
+
+	"lagoonrack/internal/vect"
+)
+
+// Limits are the settings of a cell. A zero field means its default.
+type Limits struct {
+	// Run is how long a worker may run a task without hearing from the owner.
+	Run time.Duration
+	// Beat is the longest time that a report waits for its answer.
+	Beat time.Duration
+	// Owner is the silence after which another process takes the cell over.
+	Owner time.Duration
+	// Outage is how long an owner that can't reach the table renews leases. A
+	// new owner waits as long for a worker that it doesn't hear.
+	Outage time.Duration
+	// Gap is the least time between two pages.
+	Gap time.Duration
+	// Attempts is the number of workers on which a task may fail.
+	Attempts int
+	// Tasks is the most tasks of a job.
+	Tasks int
+	// Spare is the share of each worker that batch work leaves free.
+	Spare float64
+	// Largest is the size of the largest workers of the cell, by kind of node.
+	Largest []vect.Size
+	// Teams holds the quota of each team; a zero dimension is without limit.
+	Teams map[string]vect.Size
+	// Naive turns learning, classes and guards off, for comparison.
+	Naive bool
+}
+
+// Defaults for zero fields of Limits.
+const (
+	defaultRun      = 10 * time.Second
+	defaultBeat     = time.Second
+	defaultOwner    = 4 * time.Second
+	defaultOutage   = 15 * time.Minute
+	defaultGap      = 300 * time.Millisecond
+	defaultAttempts = 3
+	defaultTasks    = 10000
+)
+
+func (l Limits) withDefaults() Limits {
+	l.Run = or(l.Run, defaultRun)
+	l.Beat = or(l.Beat, defaultBeat)
+	l.Owner = or(l.Owner, defaultOwner)
+	l.Outage = or(l.Outage, defaultOutage)
+	l.Gap = or(l.Gap, defaultGap)
+	l.Attempts = or(l.Attempts, defaultAttempts)
+	l.Tasks = or(l.Tasks, defaultTasks)
+	return l
+}
+
+func or[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+// drift bounds how much slower than the owner's a worker's clock may run.
+const drift = 0.02
+
+// lapse is how long after an answered beat the leases it renewed are over by
+// the owner's clock.
+func (l Limits) lapse() time.Duration {
+	return time.Duration(float64(l.Run) * (1 + drift))
+}
--- /dev/null
+++ b/internal/cell/order.go
@@ -0,0 +1,181 @@
+package cell
+
+import (
+	"container/heap"
+	"time"
+
+	"lagoonrack/internal/learn"
+	"lagoonrack/internal/ledger"
+	"lagoonrack/internal/vect"
+)
+
+// lane is a class of jobs that share an order.
+type lane int
+
+// Lanes, in the order in which they are served.
+const (
+	laneUrgent lane = iota
+	laneShort
+	laneLong
+	laneCount
+)
+
+const (
+	// longFactor is how many times the usual run time a long job takes.
+	longFactor = 4
+	// noDeadline is the deadline of a job without one, after its acceptance.
+	noDeadline = 24 * time.Hour
+	// slackFactor is the laxity, in run times, below which a long job goes
+	// before short ones.
+	slackFactor = 1
+)
+
+// kind is what was learned of one kind of job.
+type kind struct {
+	run          learn.Value
+	cores, bytes learn.Value
+}
+
+// book holds the jobs that have tasks to start.
+type book struct {
+	lanes [laneCount]heapOf
+	// all holds each queued job once.
+	all map[string]*item
+	// usual follows the run times of all kinds.
+	usual learn.Value
+}
+
+// item is a queued job.
+type item struct {
+	job *ledger.Job
+	// key orders a lane: the latest start, in milliseconds of wall-clock time,
+	// that meets the deadline.
+	key  int64
+	lane lane
+	pos  int
+}
+
+type heapOf []*item
+
+func (h heapOf) Len() int { return len(h) }
+func (h heapOf) Less(i, j int) bool {
+	if h[i].key != h[j].key {
+		return h[i].key < h[j].key
+	}
+	return h[i].job.Spec.Name < h[j].job.Spec.Name
+}
+func (h heapOf) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos, h[j].pos = i, j
+}
+func (h *heapOf) Push(x any) {
+	it := x.(*item)
+	it.pos = len(*h)
+	*h = append(*h, it)
+}
+func (h *heapOf) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
+
+func (b *book) push(it *item) {
+	if b.all == nil {
+		b.all = map[string]*item{}
+	}
+	b.all[it.job.Spec.Name] = it
+	heap.Push(&b.lanes[it.lane], it)
+}
+
+func (b *book) remove(name string) {
+	it := b.all[name]
+	if it == nil {
+		return
+	}
+	delete(b.all, name)
+	heap.Remove(&b.lanes[it.lane], it.pos)
+}
+
+// next takes the job to start from: urgent ones first, then a long one whose
+// deadline presses, then short ones, then long ones.
+func (b *book) next(wall int64, margin time.Duration) *item {
+	l := laneUrgent
+	switch {
+	case len(b.lanes[laneUrgent]) > 0:
+	case len(b.lanes[laneLong]) > 0 && b.lanes[laneLong][0].key-wall < margin.Milliseconds():
+		l = laneLong
+	case len(b.lanes[laneShort]) > 0:
+		l = laneShort
+	default:
+		l = laneLong
+	}
+	if len(b.lanes[l]) == 0 {
+		return nil
+	}
+	it := heap.Pop(&b.lanes[l]).(*item)
+	delete(b.all, it.job.Spec.Name)
+	return it
+}
+
+// queue puts a job with tasks to start into its lane.
+func (c *Core) queue(j *ledger.Job) {
+	name := j.Spec.Name
+	if c.book.all[name] != nil || j.Waiting() == 0 {
+		return
+	}
+	c.book.push(c.item(j))
+	c.dirty = true
+}
+
+func (c *Core) item(j *ledger.Job) *item {
+	est := c.estimate(j)
+	due := j.Due()
+	if due == 0 {
+		due = j.At + noDeadline.Milliseconds()
+	}
+	it := &item{job: j, key: due - est.Milliseconds(), lane: laneShort}
+	switch {
+	case j.Spec.Urgent:
+		it.lane = laneUrgent
+		it.key = j.At
+	case c.limits.Naive:
+		it.key = j.At
+	case c.book.usual.Known() && est.Seconds() > longFactor*c.book.usual.Median:
+		it.lane = laneLong
+	}
+	return it
+}
+
+// estimate returns the learned run time of a job's tasks, or the declared one.
+func (c *Core) estimate(j *ledger.Job) time.Duration {
+	if k := c.kinds[j.Spec.Kind]; k.run.Known() && !c.limits.Naive {
+		return time.Duration(k.run.Median * float64(time.Second))
+	}
+	return j.Spec.Runtime
+}
+
+func (c *Core) learn(name string, d time.Duration, used vect.Size) {
+	k := c.kinds[name]
+	k.run = k.run.With(d.Seconds())
+	k.cores = k.cores.With(float64(used.Cores))
+	k.bytes = k.bytes.With(float64(used.Memory))
+	c.kinds[name] = k
+	c.book.usual = c.book.usual.With(d.Seconds())
+}
+
+// charge counts what a team has in use.
+func (c *Core) charge(j *ledger.Job, size vect.Size, sign int64) {
+	s := vect.Size{Cores: sign * size.Cores, Memory: sign * size.Memory, Accel: sign * size.Accel}
+	c.usage[j.Spec.Team] = c.usage[j.Spec.Team].Add(s)
+}
+
+// inQuota reports whether a team may use size more.
+func (c *Core) inQuota(team string, size vect.Size) bool {
+	q := c.limits.Teams[team]
+	u := c.usage[team].Add(size)
+	return within(u.Cores, q.Cores) && within(u.Memory, q.Memory) && within(u.Accel, q.Accel)
+}
+
+func within(use, quota int64) bool { return quota == 0 || use <= quota }
--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,184 @@
+// Package conf holds the settings that operators write: one base file for all
+// sites with an overlay for each. Load merges and checks them; what it returns
+// is what runs, and nothing is adjusted on the way.
+package conf
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"lagoonrack/internal/tree"
+	"lagoonrack/internal/unit"
+	"lagoonrack/internal/vect"
+)
+
+// Settings are the merged settings of one site. They are immutable.
+type Settings struct {
+	Site     string    `yaml:"site" doc:"Name of the site; set in its overlay."`
+	Zones    []string  `yaml:"zones" doc:"Availability zones of the site."`
+	Teams    []Team    `yaml:"teams" doc:"Operators with their quotas."`
+	Services []Service `yaml:"services" doc:"Latency-critical services."`
+	Cells    []Cell    `yaml:"cells" doc:"Divisions of workers and jobs, each with one owner."`
+	Lease    Lease     `yaml:"lease" doc:"Spans of leases and heartbeats."`
+	Jobs     Jobs      `yaml:"jobs" doc:"Rules for jobs."`
+	Guard    Guard     `yaml:"guard" doc:"Protection of services on shared workers."`
+	Nodes    []Node    `yaml:"nodes" doc:"Workers that the site expects, by size."`
+}
+
+// Team is an operator with a quota.
+type Team struct {
+	Name   string     `yaml:"name" doc:"Name of the team."`
+	Share  int        `yaml:"share" doc:"Weight in fair sharing; at least 1."`
+	Cores  float64    `yaml:"cores" doc:"Quota of processor cores; 0 is no limit."`
+	Memory unit.Bytes `yaml:"memory" doc:"Quota of memory; 0MiB is no limit."`
+	Accel  int64      `yaml:"accel" doc:"Quota of accelerators; 0 is no limit."`
+}
+
+// Service is a latency-critical service.
+type Service struct {
+	Name      string     `yaml:"name" doc:"First part of the path that callers use."`
+	Team      string     `yaml:"team" doc:"Team that the service belongs to."`
+	Timeout   unit.Span  `yaml:"timeout" doc:"Longest budget of a request; also the default."`
+	Objective unit.Span  `yaml:"objective" doc:"Latency that 99 of 100 requests are to stay below."`
+	Body      unit.Bytes `yaml:"body" doc:"Largest request body."`
+	Queue     int        `yaml:"queue" doc:"Most requests that wait at one entry."`
+	Minions   int        `yaml:"minions" doc:"Number of minions that the site expects."`
+	Slots     int        `yaml:"slots" doc:"Requests that one minion runs at a time."`
+	Spare     int        `yaml:"spare" doc:"Calls that one agent may hold beyond its slots."`
+	Retries   int        `yaml:"retries" doc:"Most sendings after the first."`
+	Rate      float64    `yaml:"rate" doc:"Share of requests that may be retried in doubt or hedged."`
+	Hedge     bool       `yaml:"hedge" doc:"Whether slow idempotent requests are sent twice."`
+	Eject     int        `yaml:"eject" doc:"Failures in a row that eject a minion for a while."`
+	Drop      bool       `yaml:"drop" doc:"In an overlay: removes the service from the site."`
+}
+
+// Cell is a division of workers and jobs.
+type Cell struct {
+	Name string `yaml:"name" doc:"Name of the cell."`
+}
+
+// Lease holds the spans of leases.
+type Lease struct {
+	Owner  unit.Span `yaml:"owner" doc:"Silence in the table after which another entry takes a cell over."`
+	Run    unit.Span `yaml:"run" doc:"Time a worker may run a task without hearing from the owner."`
+	Beat   unit.Span `yaml:"beat" doc:"Longest time between two reports of an agent."`
+	Silent unit.Span `yaml:"silent" doc:"Age of the last report after which a minion gets nothing new."`
+	Outage unit.Span `yaml:"outage" doc:"Longest outage of the table during which an owner renews leases."`
+}
+
+// Jobs holds the rules for jobs.
+type Jobs struct {
+	Attempts int       `yaml:"attempts" doc:"Attempts after which a failing task stops."`
+	Tasks    int       `yaml:"tasks" doc:"Most tasks of one job."`
+	Urgent   unit.Span `yaml:"urgent" doc:"Time within which urgent work is to start."`
+}
+
+// Guard holds the rules that protect services.
+type Guard struct {
+	On    bool    `yaml:"on" doc:"Whether guards act."`
+	Spare float64 `yaml:"spare" doc:"Share of each worker that batch work leaves free."`
+}
+
+// Node is a group of equal workers.
+type Node struct {
+	Name   string     `yaml:"name" doc:"Name of the group."`
+	Count  int        `yaml:"count" doc:"Number of workers."`
+	Rack   int        `yaml:"rack" doc:"Workers in one rack."`
+	Cores  float64    `yaml:"cores" doc:"Cores of one worker."`
+	Memory unit.Bytes `yaml:"memory" doc:"Memory of one worker."`
+	Accel  int64      `yaml:"accel" doc:"Accelerators of one worker."`
+}
+
+// Size returns what one worker of the group offers.
+func (n Node) Size() vect.Size {
+	return vect.Size{Cores: int64(n.Cores * 1000), Memory: int64(n.Memory) >> 20, Accel: n.Accel}
+}
+
+// Quota returns the team's quota; a zero dimension is without limit.
+func (t Team) Quota() vect.Size {
+	return vect.Size{Cores: int64(t.Cores * 1000), Memory: int64(t.Memory) >> 20, Accel: t.Accel}
+}
+
+// Service returns the service with the given name.
+func (s Settings) Service(name string) (Service, bool) {
+	for _, v := range s.Services {
+		if v.Name == name {
+			return v, true
+		}
+	}
+	return Service{}, false
+}
+
+// Source is the text of a configuration: the base and the overlays.
+type Source struct {
+	// Base is the name and text of the base file.
+	Base File
+	// Overlays holds one file for each site.
+	Overlays []File
+}
+
+// File is a named text.
+type File struct{ Name, Text string }
+
+// defaults is the lowest layer of every merge.
+const defaults = `
+lease: {owner: 4s, run: 10s, beat: 1s, silent: 2s, outage: 15m}
+jobs: {attempts: 3, tasks: 10000, urgent: 8.3s}
+guard: {on: true, spare: 0.1}
+`
+
+// Load returns the settings of each site, by the order of overlays, or every
+// error that was found.
+func (s Source) Load() ([]Settings, error) {
+	var out []Settings
+	var errs []error
+	seen := map[string]string{}
+	for _, o := range s.Overlays {
+		set, err := s.site(o)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if first := seen[set.Site]; first != "" {
+			errs = append(errs, fmt.Errorf("%s: site: %s is also the site of %s", o.Name, set.Site, first))
+		}
+		seen[set.Site] = o.Name
+		out = append(out, set)
+	}
+	if len(s.Overlays) == 0 {
+		errs = append(errs, fmt.Errorf("%s: no overlay is given; each site needs one", s.Base.Name))
+	}
+	return out, errors.Join(errs...)
+}
+
+// Tree returns the merged tree of an overlay.
+func (s Source) Tree(overlay File) (*tree.Tree, error) {
+	t, err := tree.Parse("default", []byte(defaults))
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range []File{s.Base, overlay} {
+		n, err := tree.Parse(f.Name, []byte(f.Text))
+		if err != nil {
+			return nil, err
+		}
+		t = t.Merge(n)
+	}
+	return t, nil
+}
+
+func (s Source) site(overlay File) (Settings, error) {
+	var set Settings
+	t, err := s.Tree(overlay)
+	if err != nil {
+		return set, err
+	}
+	if err := t.Decode(&set); err != nil {
+		return set, err
+	}
+	return set, check(set, t)
+}
+
+// minTimeout is the shortest timeout that a service may have.
+const minTimeout = unit.Span(time.Millisecond)
--- /dev/null
+++ b/internal/ctlcmd/submit.go
@@ -0,0 +1,40 @@
+package ctlcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonrack/internal/api"
+	"lagoonrack/internal/jobs"
+)
+
+func submitCommand() *cli.Command {
+	return command("submit", "submit a job; the same name again is the same job", "FILE", runSubmit, entryFlag(), outputFlag())
+}
+
+func runSubmit(ctx context.Context, c *cli.Command) error {
+	name, err := one(c, "job file")
+	if err != nil {
+		return err
+	}
+	f, err := file(name)
+	if err != nil {
+		return err
+	}
+	j, err := jobs.Parse(f.Name, []byte(f.Text))
+	if err != nil {
+		return err
+	}
+	cl, err := client(c)
+	if err != nil {
+		return err
+	}
+	var d api.Done
+	if err := cl.Post(ctx, j, &d, "jobs"); err != nil {
+		return fmt.Errorf("%s: %w", f.Name, err)
+	}
+	return show(c, d, func(w io.Writer) { fmt.Fprintf(w, "job %s %s in cell %s\n", j.Name, d.Text, d.Cell) })
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,106 @@
+// Package daemon is what the long-running programs share: flags, settings,
+// logs, signals and exit codes.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonrack/internal/build"
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/proc"
+)
+
+// Daemon describes a long-running program.
+type Daemon struct {
+	Name, Usage string
+	Role        proc.Role
+	// Start starts the program and returns its planned stop.
+	Start func(proc.Settings, logs.Log) (stop func(), err error)
+}
+
+// Main runs the program and returns its exit code: 0 after a planned stop, 1
+// for a failure and 2 for wrong use.
+func (d Daemon) Main(args []string) int {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	err := d.command().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", d.Name, err)
+	var usage usageError
+	if errors.As(err, &usage) {
+		return 2
+	}
+	return 1
+}
+
+// usageError is a command line or a settings file that can't be used.
+type usageError struct{ error }
+
+func (d Daemon) command() *cli.Command {
+	return &cli.Command{
+		Name:    d.Name,
+		Usage:   d.Usage,
+		Version: build.Version(),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "read the process's settings from `FILE`"},
+			&cli.StringFlag{Name: "pid", Usage: "write the number of the process to `FILE`"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
+		},
+		Action:       d.action,
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return usageError{err} },
+	}
+}
+
+func (d Daemon) action(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() > 0 {
+		return usageError{fmt.Errorf("unexpected argument %q", c.Args().First())}
+	}
+	if c.String("settings") == "" {
+		return usageError{errors.New("--settings is needed; see --help")}
+	}
+	s, err := proc.Read(c.String("settings"), d.Role)
+	if err != nil {
+		return usageError{err}
+	}
+	if c.Bool("check") {
+		fmt.Println("ok")
+		return nil
+	}
+	if err := writePid(c.String("pid")); err != nil {
+		return err
+	}
+	return d.run(ctx, s, os.Stdout)
+}
+
+func writePid(file string) error {
+	if file == "" {
+		return nil
+	}
+	return os.WriteFile(file, []byte(strconv.Itoa(os.Getpid())+"\n"), 0o600)
+}
+
+func (d Daemon) run(ctx context.Context, s proc.Settings, out io.Writer) error {
+	log, err := logs.New(out, s.Log.Format, s.Log.Level, s.Name)
+	if err != nil {
+		return err
+	}
+	stop, err := d.Start(s, log)
+	if err != nil {
+		log.Error(logs.Failed, err, nil)
+		return err
+	}
+	<-ctx.Done()
+	stop()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/effect.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/route"
+	"lagoonrack/internal/rpcs"
+	"lagoonrack/internal/trail"
+	"lagoonrack/internal/wire"
+)
+
+const (
+	// agentName is the name of the agents' peer service.
+	agentName = "Agent"
+	// peerTimeout bounds a call between processes that carries no request.
+	peerTimeout = time.Second
+	// callSlack is how long after a request's budget its call is given up.
+	callSlack = 200 * time.Millisecond
+)
+
+// step passes an event to the route core and carries out its effects.
+func (e *Entry) step(ev route.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stepLocked(ev)
+}
+
+func (e *Entry) stepLocked(ev route.Event) {
+	for _, f := range e.core.Step(e.clock.Now(), ev) {
+		e.do(f)
+	}
+}
+
+// do carries out an effect without waiting for anything.
+func (e *Entry) do(f route.Effect) {
+	switch f := f.(type) {
+	case route.Send:
+		e.note(f.ID, "sent", "", f.Agent)
+		p := e.calls[f.ID]
+		call := p.call
+		call.Attempt = f.Attempt
+		call.Incarnation = f.Incarnation
+		call.Serial = f.Serial
+		call.Budget = f.Budget
+		call.Waiting = f.Waiting
+		call.Age = f.Age
+		go e.send(f.Agent, call)
+	case route.Kill:
+		e.note(f.ID, "kill", "", f.Agent)
+		go e.kill(f)
+	case route.Bid:
+		go e.bid(f)
+	case route.Answer:
+		e.answered(f)
+	case route.Note:
+		e.noted(f)
+	}
+}
+
+func (e *Entry) note(id, what, reason, agent string) {
+	e.trail.Add(id, trail.Step{At: e.clock.Now(), What: what, Reason: reason, Agent: agent})
+}
+
+func (e *Entry) answered(a route.Answer) {
+	e.note(a.ID, string(a.Outcome), a.Reason, "")
+	p := e.calls[a.ID]
+	delete(e.calls, a.ID)
+	if p != nil {
+		p.answer <- a
+	}
+}
+
+func (e *Entry) noted(n route.Note) {
+	e.tally.Inc("lagoon_routing_total", "kind", n.Kind, "reason", n.Reason)
+	fields := logs.Fields{"reason": n.Reason, "id": n.ID, "agent": n.Agent}
+	switch n.Kind {
+	case "retry":
+		e.note(n.ID, n.Kind, n.Reason, n.Agent)
+		e.log.Debug(logs.Retried, fields)
+	case "hedge":
+		e.note(n.ID, n.Kind, n.Reason, n.Agent)
+		e.log.Debug(logs.Hedged, fields)
+	case "eject":
+		e.log.Info(logs.Ejected, fields)
+	case "silent":
+		e.log.Info(logs.Silent, fields)
+	}
+}
+
+// send makes one attempt and reports its end to the core.
+func (e *Entry) send(agent string, c wire.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Budget+callSlack)
+	defer cancel()
+	res := new(wire.Result)
+	err := e.pool.Get(agent).Call(ctx, agentName+".Call", c, res)
+	switch {
+	case err == nil:
+		e.step(route.Reply{ID: c.ID, Attempt: c.Attempt, Result: *res})
+	case errors.Is(err, rpcs.ErrUnsent):
+		e.step(route.Reply{ID: c.ID, Attempt: c.Attempt, Result: wire.Result{Refused: "unreachable"}})
+	default:
+		e.log.Debug(logs.PeerLost, logs.Fields{"agent": agent, "id": c.ID, "error": err.Error()})
+		e.step(route.Break{ID: c.ID, Attempt: c.Attempt})
+	}
+}
+
+func (e *Entry) kill(k route.Kill) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	fate := new(wire.Fate)
+	msg := wire.Kill{ID: k.ID, Attempt: k.Attempt, Incarnation: k.Incarnation}
+	if err := e.pool.Get(k.Agent).Call(ctx, agentName+".Kill", msg, fate); err != nil {
+		e.step(route.Fate{ID: k.ID, Attempt: k.Attempt, Lost: true})
+		return
+	}
+	e.step(route.Fate{ID: k.ID, Attempt: k.Attempt, Fate: *fate})
+}
+
+func (e *Entry) bid(b route.Bid) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	msg := wire.Bid{Entry: e.PeerAddr(), Incarnation: b.Incarnation, Waiting: b.Waiting, Age: b.Age}
+	// A lost bid is repeated while requests wait.
+	_ = e.pool.Get(b.Agent).Call(ctx, agentName+".Bid", msg, new(wire.Empty))
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,85 @@
+// Package jobs reads job files.
+package jobs
+
+import (
+	"errors"
+	"fmt"
+
+	"lagoonrack/internal/tree"
+	"lagoonrack/internal/unit"
+	"lagoonrack/internal/vect"
+	"lagoonrack/internal/wire"
+)
+
+// File is the form of a job file.
+type File struct {
+	Name       string     `yaml:"name" doc:"Name of the job; a second submit with the same name is the same job."`
+	Team       string     `yaml:"team" doc:"Team whose quota the job counts against."`
+	Kind       string     `yaml:"kind" doc:"Kind of the job; run times and sizes are learned for each kind."`
+	Cell       string     `yaml:"cell" doc:"Cell to run in; left out, one is chosen by the name."`
+	Tasks      int        `yaml:"tasks" doc:"Number of tasks."`
+	Cores      float64    `yaml:"cores" doc:"Processor cores of one task."`
+	Memory     unit.Bytes `yaml:"memory" doc:"Memory of one task."`
+	Accel      int64      `yaml:"accel" doc:"Accelerators of one task."`
+	Runtime    unit.Span  `yaml:"runtime" doc:"Declared run time of one task."`
+	Actual     unit.Span  `yaml:"actual" doc:"True run time on a stand-in worker; left out, the declared one."`
+	Deadline   unit.Span  `yaml:"deadline" doc:"Time from acceptance in which all tasks are to end; 0s for none."`
+	Idempotent bool       `yaml:"idempotent" doc:"Whether a task may run again after it was lost or failed."`
+	Checkpoint bool       `yaml:"checkpoint" doc:"Whether a task can save its progress."`
+	Urgent     bool       `yaml:"urgent" doc:"Whether tasks may evict others to start at once."`
+	Limit      int        `yaml:"limit" doc:"Workers on which a task may fail; 0 for the setting."`
+}
+
+// Parse reads a job file.
+func Parse(file string, data []byte) (wire.Job, error) {
+	t, err := tree.Parse(file, data)
+	if err != nil {
+		return wire.Job{}, err
+	}
+	var f File
+	f.Tasks = 1
+	if err := t.Decode(&f); err != nil {
+		return wire.Job{}, err
+	}
+	var errs []error
+	want := func(ok bool, path, format string, args ...any) {
+		if !ok {
+			errs = append(errs, t.Errorf(path, format, args...))
+		}
+	}
+	want(f.Name != "", "name", "a name is needed")
+	want(f.Team != "", "team", "a team is needed")
+	want(f.Kind != "", "kind", "a kind is needed")
+	want(f.Tasks >= 1, "tasks", "%d is less than 1", f.Tasks)
+	want(f.Cores > 0 || f.Memory > 0 || f.Accel > 0, "cores", "some resource must be above 0")
+	want(f.Cores >= 0 && f.Memory >= 0 && f.Accel >= 0, "cores", "no resource may be below 0")
+	want(f.Runtime > 0, "runtime", "a run time above 0 is needed")
+	want(f.Deadline >= 0, "deadline", "%s is below 0", f.Deadline)
+	want(f.Limit >= 0, "limit", "%d is below 0", f.Limit)
+	if len(errs) > 0 {
+		return wire.Job{}, fmt.Errorf("job: %w", errors.Join(errs...))
+	}
+	return f.job(), nil
+}
+
+func (f File) job() wire.Job {
+	return wire.Job{
+		Name:  f.Name,
+		Team:  f.Team,
+		Kind:  f.Kind,
+		Cell:  f.Cell,
+		Tasks: f.Tasks,
+		Size: vect.Size{
+			Cores:  int64(f.Cores * 1000),
+			Memory: (int64(f.Memory) + 1<<20 - 1) >> 20,
+			Accel:  f.Accel,
+		},
+		Runtime:    f.Runtime.Std(),
+		Actual:     f.Actual.Std(),
+		Deadline:   f.Deadline.Std(),
+		Idempotent: f.Idempotent,
+		Checkpoint: f.Checkpoint,
+		Urgent:     f.Urgent,
+		Limit:      f.Limit,
+	}
+}
--- /dev/null
+++ b/internal/loadcmd/root.go
@@ -0,0 +1,35 @@
+// Package loadcmd is the command line of lagoonload. Each subcommand has a file
+// of its own.
+package loadcmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonrack/internal/build"
+)
+
+// Main runs the command line and returns the exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := root().Run(ctx, args); err != nil {
+		fmt.Fprintln(os.Stderr, "lagoonload:", err)
+		return 1
+	}
+	return 0
+}
+
+func root() *cli.Command {
+	return &cli.Command{
+		Name:     "lagoonload",
+		Usage:    "drive load and run experiments",
+		Version:  build.Version(),
+		Commands: []*cli.Command{runCommand()},
+	}
+}
--- /dev/null
+++ b/internal/logs/event.go
@@ -0,0 +1,50 @@
+package logs
+
+// Event is a numbered kind of log line. Numbers are never used again for
+// something else; docs/events.md lists them all.
+type Event struct {
+	Number int
+	// Text is the constant part of the line.
+	Text string
+	// Meaning tells an operator what happened and what to do, if anything.
+	Meaning string
+}
+
+// The events. 1xx concern a process, 2xx requests, 3xx cells and jobs, 4xx
+// workers and minions, 5xx settings.
+var (
+	Started    = Event{101, "started", "The process serves its addresses."}
+	Stopping   = Event{102, "stopping", "A planned stop began; requests in progress go on."}
+	Stopped    = Event{103, "stopped", "The planned stop is complete."}
+	Failed     = Event{104, "failed", "The process could not go on. The fields name step and peer."}
+	StoreDown  = Event{105, "store gives no answer", "The platform's table or object store failed an operation, which is repeated. Running work goes on."}
+	StoreUp    = Event{106, "store answers again", "The outage of the platform's service is over."}
+	PeerLost   = Event{107, "peer gives no answer", "A call between two processes failed."}
+	Retried    = Event{201, "request sent again", "An attempt ended without an answer and the request may go elsewhere."}
+	Hedged     = Event{202, "request sent twice", "An idempotent request was slow and a second attempt was sent."}
+	Ejected    = Event{203, "minion ejected", "A minion failed several requests in a row and gets nothing for a while."}
+	Silent     = Event{204, "minion silent", "A minion has not announced itself and was forgotten."}
+	Answered   = Event{205, "request answered", "A request ended other than by the answer of a minion. Logged at debug level for those that ran."}
+	Owned      = Event{301, "cell taken over", "This process owns the cell from now on."}
+	Deposed    = Event{302, "cell lost", "Another process owns the cell; this one drops what it knew of it."}
+	Released   = Event{303, "cell handed over", "The cell was given up by a planned stop."}
+	Decided    = Event{304, "task decision", "A task was started, ended, returned to the queue, evicted or given up."}
+	Snapshot   = Event{305, "snapshot stored", "The state of a cell is in the object store."}
+	Quarantine = Event{401, "worker quarantined", "A worker fails what it starts and is only probed for a while."}
+	Restored   = Event{402, "worker in use again", "A quarantined worker ended a task well."}
+	WorkerGone = Event{403, "worker silent", "A worker's leases are over without a word from it."}
+	Fenced     = Event{404, "orders refused", "A worker refused orders that were out of date."}
+	Applied    = Event{501, "settings in force", "The process runs a new version of the settings."}
+	Refused    = Event{502, "settings refused", "A version of the settings could not be read; the earlier one stays in force."}
+)
+
+// All returns every event in order of its number.
+func All() []Event {
+	return []Event{
+		Started, Stopping, Stopped, Failed, StoreDown, StoreUp, PeerLost,
+		Retried, Hedged, Ejected, Silent, Answered,
+		Owned, Deposed, Released, Decided, Snapshot,
+		Quarantine, Restored, WorkerGone, Fenced,
+		Applied, Refused,
+	}
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,73 @@
+// Package logs writes structured logs. Each line is a numbered event from the
+// catalogue with fields; the text of an event never changes with its fields.
+package logs
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonrack/internal/fault"
+)
+
+// Log writes the events of one process. The zero value drops everything.
+type Log struct {
+	entry *logrus.Entry
+}
+
+// New returns a log that writes to w. The format is "text" or "json", and the
+// level one of logrus's names.
+func New(w io.Writer, format, level, process string) (Log, error) {
+	l := logrus.New()
+	l.SetOutput(w)
+	switch format {
+	case "json":
+		l.SetFormatter(&logrus.JSONFormatter{})
+	case "text", "":
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	default:
+		return Log{}, fmt.Errorf("log format %q is neither text nor json", format)
+	}
+	if level == "" {
+		level = "info"
+	}
+	v, err := logrus.ParseLevel(level)
+	if err != nil {
+		return Log{}, err
+	}
+	l.SetLevel(v)
+	return Log{entry: l.WithField("process", process)}, nil
+}
+
+// Fields are the variable parts of a line.
+type Fields = logrus.Fields
+
+// Info writes an event.
+func (l Log) Info(e Event, f Fields) { l.write(logrus.InfoLevel, e, f) }
+
+// Debug writes an event that is of interest only in a search for a fault.
+func (l Log) Debug(e Event, f Fields) { l.write(logrus.DebugLevel, e, f) }
+
+// Error writes an event with the error that caused it, and the step and peer
+// that the error carries.
+func (l Log) Error(e Event, err error, f Fields) {
+	if l.entry == nil {
+		return
+	}
+	all := Fields{"error": err.Error()}
+	if p, ok := fault.Of(err); ok {
+		all["step"], all["peer"] = p.Step, p.Peer
+	}
+	for k, v := range f {
+		all[k] = v
+	}
+	l.write(logrus.ErrorLevel, e, all)
+}
+
+func (l Log) write(level logrus.Level, e Event, f Fields) {
+	if l.entry == nil || !l.entry.Logger.IsLevelEnabled(level) {
+		return
+	}
+	l.entry.WithField("event", e.Number).WithFields(f).Log(level, e.Text)
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,56 @@
+package logs_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"lagoonrack/internal/fault"
+	"lagoonrack/internal/logs"
+)
+
+// catalogue is the page that lists all events.
+const catalogue = "../../docs/events.md"
+
+func page() string {
+	var b bytes.Buffer
+	b.WriteString("# Events\n\nEach log line has the number of its event in the field `event`. This page is\nwritten by `go test ./internal/logs` with `UPDATE=1`.\n\n")
+	b.WriteString("| number | text | meaning |\n|---|---|---|\n")
+	for _, e := range logs.All() {
+		fmt.Fprintf(&b, "| %d | %s | %s |\n", e.Number, e.Text, e.Meaning)
+	}
+	return b.String()
+}
+
+func TestCatalogue(t *testing.T) {
+	if os.Getenv("UPDATE") != "" {
+		if err := os.WriteFile(catalogue, []byte(page()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	data, err := os.ReadFile(catalogue)
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(Equal(page()))
+	last := 0
+	for _, e := range logs.All() {
+		g.Expect(e.Number).To(BeNumerically(">", last), "numbers grow and are unique")
+		last = e.Number
+	}
+}
+
+func TestLines(t *testing.T) {
+	var b bytes.Buffer
+	l, err := logs.New(&b, "json", "info", "entry-1")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	l.Error(logs.StoreDown, fault.At("read row", "10.0.0.1:7000").Errorf("no answer"), logs.Fields{"cell": "rhein"})
+	for _, want := range []string{`"event":105`, `"process":"entry-1"`, `"step":"read row"`, `"peer":"10.0.0.1:7000"`, `"cell":"rhein"`} {
+		g.Expect(b.String()).To(ContainSubstring(want))
+	}
+	var none logs.Log
+	none.Info(logs.Started, nil)
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,420 @@
+// Package owner keeps a process's part in one cell: it watches the cell's rows
+// in the table, takes the cell over when it has no living owner, and then runs
+// the cell's core.
+//
+// Ownership is decided by the table alone. The title row names the owner and
+// its term, and changes only by a transaction that checks its version. Each
+// page and each sign of life checks the title's version too, so an owner that
+// was replaced can write nothing more. A watcher takes over once the head row
+// has not changed for the owner lease by the watcher's own clock.
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"lagoonrack/internal/cell"
+	"lagoonrack/internal/clock"
+	"lagoonrack/internal/fault"
+	"lagoonrack/internal/ledger"
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/tally"
+	"lagoonrack/internal/wire"
+)
+
+// ErrNotOwner says that this process does not own the cell.
+var ErrNotOwner = errors.New("not the owner")
+
+const (
+	// watchEvery is how often a watcher reads the cell's rows.
+	watchEvery = 500 * time.Millisecond
+	// tickEvery is how often the core is told of the time.
+	tickEvery = 50 * time.Millisecond
+	// callTimeout bounds one operation of the platform.
+	callTimeout = 2 * time.Second
+	// retryEvery is the pause after a failed operation.
+	retryEvery = 100 * time.Millisecond
+)
+
+// Owner is one process's part in a cell. Cell to Limits must be set before
+// Run.
+type Owner struct {
+	Cell string
+	// Name and Addr are those of this process.
+	Name, Addr string
+	Table      plat.Table
+	Store      plat.Store
+	Log        logs.Log
+	Tally      *tally.Set
+	Limits     cell.Limits
+	// Seed makes placements repeatable.
+	Seed uint64
+	// Watch is told of each decision. It may be nil.
+	Watch func(cell.Note)
+
+	mu    sync.Mutex
+	reign *reign
+	// known is the newest title that was read.
+	known title
+	// quiet is since when the head has not changed, and version the head's.
+	quiet   time.Time
+	version uint64
+	leaving bool
+}
+
+// reign is the time during which this process owns the cell.
+type reign struct {
+	core    *cell.Core
+	clock   clock.Clock
+	title   plat.Row
+	term    uint64
+	pages   chan ledger.Page
+	snaps   chan cell.Snapshot
+	tokens  map[uint64]chan any
+	next    uint64
+	head    head
+	ended   chan struct{}
+	release chan struct{}
+	once    sync.Once
+}
+
+// Run watches the cell until the context ends. A planned stop calls Leave
+// first.
+func (o *Owner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if o.vacant(ctx) && !o.isLeaving() {
+			if r := o.takeOver(ctx); r != nil {
+				o.rule(ctx, r)
+			}
+		}
+		sleep(ctx, watchEvery)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (o *Owner) isLeaving() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.leaving
+}
+
+func (o *Owner) failed(step string, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	o.Tally.Inc("lagoon_store_errors_total", "step", step)
+	o.Log.Error(logs.StoreDown, fault.At(step, o.Cell).Wrap(err), logs.Fields{"cell": o.Cell})
+}
+
+// vacant reads the cell's rows and reports whether the cell may be taken.
+func (o *Owner) vacant(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	t, _, err := readRow[title](ctx, o.Table, titleKey(o.Cell))
+	if err != nil {
+		o.failed("read title", err)
+		o.unread()
+		return false
+	}
+	_, row, err := readRow[head](ctx, o.Table, headKey(o.Cell))
+	if err != nil {
+		o.failed("read head", err)
+		o.unread()
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.known = t
+	if row.Version != o.version || o.quiet.IsZero() {
+		o.version = row.Version
+		o.quiet = time.Now()
+	}
+	if t.Addr == "" {
+		return true
+	}
+	return time.Since(o.quiet) > time.Duration(float64(o.Limits.Owner)*(1+clockDrift))
+}
+
+// clockDrift bounds how much clocks of two processes differ in speed.
+const clockDrift = 0.02
+
+// unread starts the wait anew: while the table can't be read, an owner can't
+// write to it either.
+func (o *Owner) unread() {
+	o.mu.Lock()
+	o.quiet = time.Time{}
+	o.mu.Unlock()
+}
+
+// takeOver makes this process the owner, or returns nil.
+func (o *Owner) takeOver(ctx context.Context) *reign {
+	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
+	defer cancel()
+	old, row, err := readRow[title](ctx, o.Table, titleKey(o.Cell))
+	if err != nil {
+		o.failed("read title", err)
+		return nil
+	}
+	h, hrow, err := readRow[head](ctx, o.Table, headKey(o.Cell))
+	if err != nil || hrow.Version != o.version {
+		return nil
+	}
+	mine := title{Term: old.Term + 1, Name: o.Name, Addr: o.Addr, Nonce: ulid.Make().String()}
+	if err := o.claim(ctx, mine, row, h, hrow); err != nil {
+		o.failed("take over", err)
+	}
+	return o.begin(ctx, mine, old)
+}
+
+func (o *Owner) claim(ctx context.Context, mine title, row plat.Row, h head, hrow plat.Row) error {
+	h.Beat++
+	tw, err := put(titleKey(o.Cell), mine)
+	if err != nil {
+		return err
+	}
+	hw, err := put(headKey(o.Cell), h)
+	if err != nil {
+		return err
+	}
+	return o.Table.Commit(ctx, plat.Txn{
+		Checks: []plat.Check{{Key: row.Key, Version: row.Version}, {Key: hrow.Key, Version: hrow.Version}},
+		Writes: []plat.Write{tw, hw},
+	})
+}
+
+// begin reads back whether the claim took effect and loads the state.
+func (o *Owner) begin(ctx context.Context, mine, old title) *reign {
+	got, row, err := readRow[title](ctx, o.Table, titleKey(o.Cell))
+	if err != nil || got != mine {
+		return nil
+	}
+	c := clock.New()
+	led, err := load(ctx, o.Cell, o.Table, o.Store)
+	if err != nil {
+		o.failed("load", err)
+		return nil
+	}
+	h, _, err := readRow[head](ctx, o.Table, headKey(o.Cell))
+	if err != nil {
+		return nil
+	}
+	l := o.Limits
+	if old.Addr == "" {
+		// The last owner gave the cell up and renews no lease any more.
+		l.Outage = time.Nanosecond
+	}
+	core := cell.New(l, mine.Term, c.Epoch(), o.Seed, led, h.Seq)
+	core.Configure(o.Limits)
+	o.Log.Info(logs.Owned, logs.Fields{"cell": o.Cell, "term": mine.Term, "jobs": len(led.Jobs), "seq": led.Seq})
+	o.Tally.Inc("lagoon_takeovers_total", "cell", o.Cell)
+	return &reign{
+		core:    core,
+		clock:   c,
+		title:   row,
+		term:    mine.Term,
+		head:    h,
+		pages:   make(chan ledger.Page, 1),
+		snaps:   make(chan cell.Snapshot, 1),
+		tokens:  map[uint64]chan any{},
+		ended:   make(chan struct{}),
+		release: make(chan struct{}),
+	}
+}
+
+// rule runs the core until another process takes the cell or it is released.
+func (o *Owner) rule(ctx context.Context, r *reign) {
+	o.mu.Lock()
+	o.reign = r
+	o.known = title{Term: r.term, Name: o.Name, Addr: o.Addr}
+	o.mu.Unlock()
+	var all sync.WaitGroup
+	all.Go(func() { o.loopPages(ctx, r) })
+	all.Go(func() { o.loopHead(ctx, r) })
+	all.Go(func() { o.loopTicks(ctx, r) })
+	all.Wait()
+	o.mu.Lock()
+	o.reign = nil
+	o.quiet = time.Time{}
+	for _, ch := range r.tokens {
+		close(ch)
+	}
+	r.tokens = nil
+	o.mu.Unlock()
+}
+
+func (r *reign) end() { r.once.Do(func() { close(r.ended) }) }
+
+// step passes an event to the core and carries out its effects. It must be
+// called with the mutex held.
+func (o *Owner) step(r *reign, e cell.Event) {
+	for _, f := range r.core.Step(r.clock.Now(), e) {
+		o.do(r, f)
+	}
+}
+
+func (o *Owner) do(r *reign, f cell.Effect) {
+	switch f := f.(type) {
+	case cell.Commit:
+		f.Page.Txn = ulid.Make().String()
+		r.pages <- f.Page
+	case cell.Orders:
+		r.reply(f.Token, f.Orders)
+	case cell.Done:
+		if f.Reason != "" {
+			o.Tally.Inc("lagoon_job_refusals_total", "reason", f.Reason)
+		}
+		r.reply(f.Token, f)
+	case cell.Snapshot:
+		select {
+		case r.snaps <- f:
+		default:
+			r.core.Unsaved()
+		}
+	case cell.Release:
+		close(r.release)
+	case cell.Note:
+		o.note(f)
+	}
+}
+
+func (r *reign) reply(token uint64, v any) {
+	if ch := r.tokens[token]; ch != nil {
+		delete(r.tokens, token)
+		ch <- v
+	}
+}
+
+func (o *Owner) note(n cell.Note) {
+	o.Tally.Inc("lagoon_task_decisions_total", "kind", n.Kind, "reason", n.Reason)
+	e := logs.Decided
+	switch n.Kind {
+	case "quarantine":
+		e = logs.Quarantine
+	case "return":
+		e = logs.Restored
+	case "silent":
+		e = logs.WorkerGone
+	}
+	o.Log.Info(e, logs.Fields{"cell": o.Cell, "kind": n.Kind, "reason": n.Reason, "task": n.Task, "worker": n.Worker})
+	if o.Watch != nil {
+		o.Watch(n)
+	}
+}
+
+// ask passes an event with a token to the core and waits for the answer.
+func (o *Owner) ask(ctx context.Context, event func(token uint64) cell.Event) (any, error) {
+	o.mu.Lock()
+	r := o.reign
+	if r == nil {
+		o.mu.Unlock()
+		return nil, ErrNotOwner
+	}
+	r.next++
+	token := r.next
+	ch := make(chan any, 1)
+	r.tokens[token] = ch
+	o.step(r, event(token))
+	o.mu.Unlock()
+	select {
+	case v, ok := <-ch:
+		if !ok {
+			return nil, ErrNotOwner
+		}
+		return v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Beat answers a worker's report.
+func (o *Owner) Beat(ctx context.Context, b wire.Beat) (wire.Orders, error) {
+	v, err := o.ask(ctx, func(t uint64) cell.Event { return cell.Beat{Token: t, Beat: b} })
+	if err != nil {
+		return wire.Orders{}, err
+	}
+	return v.(wire.Orders), nil
+}
+
+// Submit accepts a job.
+func (o *Owner) Submit(ctx context.Context, j wire.Job) (cell.Done, error) {
+	return o.operate(ctx, func(t uint64) cell.Event { return cell.Submit{Token: t, Job: j} })
+}
+
+// Cancel withdraws a job.
+func (o *Owner) Cancel(ctx context.Context, name string) (cell.Done, error) {
+	return o.operate(ctx, func(t uint64) cell.Event { return cell.Cancel{Token: t, Name: name} })
+}
+
+// Drain empties a worker, or uses it again.
+func (o *Owner) Drain(ctx context.Context, worker string, off bool) (cell.Done, error) {
+	return o.operate(ctx, func(t uint64) cell.Event { return cell.Drain{Token: t, Worker: worker, Off: off} })
+}
+
+func (o *Owner) operate(ctx context.Context, event func(uint64) cell.Event) (cell.Done, error) {
+	v, err := o.ask(ctx, event)
+	if err != nil {
+		return cell.Done{}, err
+	}
+	return v.(cell.Done), nil
+}
+
+// View calls f with the core, if this process owns the cell. The core must not
+// be kept.
+func (o *Owner) View(f func(*cell.Core)) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.reign == nil {
+		return false
+	}
+	f(o.reign.core)
+	return true
+}
+
+// Holder returns the address of the cell's owner as last read, or an empty
+// string.
+func (o *Owner) Holder() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.known.Addr
+}
+
+// Configure replaces the limits.
+func (o *Owner) Configure(l cell.Limits) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Limits = l
+	if o.reign != nil {
+		o.reign.core.Configure(l)
+	}
+}
+
+// Leave hands the cell over and returns when that is done or the context ends.
+func (o *Owner) Leave(ctx context.Context) {
+	o.mu.Lock()
+	o.leaving = true
+	r := o.reign
+	if r != nil {
+		o.step(r, cell.Leave{})
+	}
+	o.mu.Unlock()
+	if r == nil {
+		return
+	}
+	select {
+	case <-r.ended:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/proc/proc.go
@@ -0,0 +1,194 @@
+// Package proc holds the settings of one process: its name, its place and its
+// addresses. What operators set for services, teams and cells is in package
+// conf and comes from the table.
+package proc
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/tree"
+	"lagoonrack/internal/unit"
+)
+
+// Settings are read from a process's settings file. Fields that a program does
+// not use must be left out of its file.
+type Settings struct {
+	Name string `yaml:"name" doc:"Name of the process, unique in its site."`
+	Site string `yaml:"site" doc:"Site that the process belongs to."`
+	Zone string `yaml:"zone" doc:"Availability zone that the process runs in."`
+	Log  Log    `yaml:"log" doc:"Form of the log."`
+	// The addresses are of IP number and port; port 0 lets the system choose.
+	Caller   string `yaml:"caller" doc:"Address for callers."`
+	Operator string `yaml:"operator" doc:"Address for operators, metrics and health."`
+	Peer     string `yaml:"peer" doc:"Address for other processes of the system."`
+	Platform string `yaml:"platform" doc:"Address of the platform's table and object store."`
+	// Entries are peer addresses of some entries; the others are learned.
+	Entries []string  `yaml:"entries" doc:"Peer addresses of entries to ask first."`
+	Drain   unit.Span `yaml:"drain" doc:"Longest time of a planned stop."`
+	Notice  unit.Span `yaml:"notice" doc:"Time that an entry serves on after its health turned red."`
+	Minion  Minion    `yaml:"minion" doc:"Minion beside the agent; left out if there is none."`
+	Worker  Worker    `yaml:"worker" doc:"Worker beside the agent; left out if there is none."`
+	Stand   Stand     `yaml:"stand" doc:"What a stand-in platform offers."`
+}
+
+// Log is the form of the log.
+type Log struct {
+	Format string `yaml:"format" doc:"text or json."`
+	Level  string `yaml:"level" doc:"debug, info, warning or error."`
+}
+
+// Minion is the back end beside an agent.
+type Minion struct {
+	Service string `yaml:"service" doc:"Service that the minion belongs to."`
+	Address string `yaml:"address" doc:"Address of the minion."`
+	Slots   int    `yaml:"slots" doc:"Requests that the minion runs at a time."`
+}
+
+// Worker is the worker beside an agent.
+type Worker struct {
+	Name    string `yaml:"name" doc:"Name of the worker."`
+	Cell    string `yaml:"cell" doc:"Cell that the worker belongs to."`
+	Rack    string `yaml:"rack" doc:"Rack that the worker is in."`
+	Address string `yaml:"address" doc:"Address of the worker's runtime."`
+}
+
+// Stand is what a stand-in platform offers.
+type Stand struct {
+	Minions []StandMinion `yaml:"minions" doc:"Stand-in minions."`
+	Workers []StandWorker `yaml:"workers" doc:"Stand-in workers."`
+}
+
+// StandMinion is a stand-in minion.
+type StandMinion struct {
+	Name    string `yaml:"name" doc:"Name of the minion."`
+	Address string `yaml:"address" doc:"Address that it serves."`
+}
+
+// StandWorker is a stand-in worker.
+type StandWorker struct {
+	Name   string     `yaml:"name" doc:"Name of the worker."`
+	Cores  float64    `yaml:"cores" doc:"Cores of the worker."`
+	Memory unit.Bytes `yaml:"memory" doc:"Memory of the worker."`
+	Accel  int64      `yaml:"accel" doc:"Accelerators of the worker."`
+}
+
+// Role says which addresses a program needs.
+type Role int
+
+// The roles of programs.
+const (
+	Entry Role = iota
+	Agent
+	Platform
+)
+
+// Read reads and checks a settings file.
+func Read(file string, role Role) (Settings, error) {
+	var s Settings
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	t, err := tree.Parse(file, data)
+	if err != nil {
+		return s, err
+	}
+	if err := t.Decode(&s); err != nil {
+		return s, err
+	}
+	c := checker{tree: t}
+	c.check(s, role)
+	return s, errors.Join(c.errs...)
+}
+
+type checker struct {
+	tree *tree.Tree
+	errs []error
+}
+
+func (c *checker) want(ok bool, path, format string, args ...any) {
+	if !ok {
+		c.errs = append(c.errs, c.tree.Errorf(path, format, args...))
+	}
+}
+
+func (c *checker) address(path, v string) {
+	_, err := netip.ParseAddrPort(v)
+	c.want(err == nil, path, "%q is not an address of IP number and port, such as 127.0.0.1:8080", v)
+}
+
+func (c *checker) unused(path string, set bool) {
+	c.want(!set, path, "this program does not use the key")
+}
+
+func (c *checker) check(s Settings, role Role) {
+	c.want(s.Name != "", "name", "a name is needed")
+	if _, err := logs.New(nil, s.Log.Format, s.Log.Level, ""); err != nil {
+		c.want(false, "log", "%v", err)
+	}
+	switch role {
+	case Entry:
+		c.entry(s)
+	case Agent:
+		c.agent(s)
+	case Platform:
+		c.platform(s)
+	}
+}
+
+func (c *checker) place(s Settings) {
+	c.want(s.Site != "", "site", "a site is needed")
+	c.want(s.Zone != "", "zone", "an availability zone is needed")
+	c.address("operator", s.Operator)
+	c.address("peer", s.Peer)
+	c.unused("stand", len(s.Stand.Minions)+len(s.Stand.Workers) > 0)
+}
+
+func (c *checker) entry(s Settings) {
+	c.place(s)
+	c.address("caller", s.Caller)
+	c.address("platform", s.Platform)
+	c.unused("minion", s.Minion != Minion{})
+	c.unused("worker", s.Worker != Worker{})
+	c.unused("entries", len(s.Entries) > 0)
+}
+
+func (c *checker) agent(s Settings) {
+	c.place(s)
+	c.unused("caller", s.Caller != "")
+	c.unused("platform", s.Platform != "")
+	c.unused("notice", s.Notice != 0)
+	c.want(len(s.Entries) > 0, "entries", "at least one entry is needed")
+	for i, e := range s.Entries {
+		c.address(fmt.Sprintf("entries[%d]", i), e)
+	}
+	c.want(s.Minion != Minion{} || s.Worker != Worker{}, "name", "an agent needs a minion, a worker or both")
+	if s.Minion != (Minion{}) {
+		c.want(s.Minion.Service != "", "minion.service", "a service is needed")
+		c.address("minion.address", s.Minion.Address)
+		c.want(s.Minion.Slots >= 1, "minion.slots", "%d is less than 1", s.Minion.Slots)
+	}
+	if s.Worker != (Worker{}) {
+		c.want(s.Worker.Name != "", "worker.name", "a name is needed")
+		c.want(s.Worker.Cell != "", "worker.cell", "a cell is needed")
+		c.address("worker.address", s.Worker.Address)
+	}
+}
+
+func (c *checker) platform(s Settings) {
+	c.address("platform", s.Platform)
+	c.address("operator", s.Operator)
+	for _, m := range s.Stand.Minions {
+		c.address("stand.minions["+m.Name+"].address", m.Address)
+	}
+	for _, w := range s.Stand.Workers {
+		c.want(w.Cores > 0 && w.Memory > 0 && w.Accel >= 0, "stand.workers["+w.Name+"]", "cores and memory must be above 0")
+	}
+	c.unused("caller", s.Caller != "")
+	c.unused("peer", s.Peer != "")
+	c.unused("entries", len(s.Entries) > 0)
+}
--- /dev/null
+++ b/internal/prog/prog.go
@@ -0,0 +1,95 @@
+// Package prog holds the long-running programs, so that the commands under cmd
+// and the process scenarios run the same code.
+package prog
+
+import (
+	"lagoonrack/internal/agent"
+	"lagoonrack/internal/daemon"
+	"lagoonrack/internal/entry"
+	"lagoonrack/internal/httpd"
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/proc"
+	"lagoonrack/internal/rpcs"
+	"lagoonrack/internal/stand"
+	"lagoonrack/internal/stand/serve"
+	"lagoonrack/internal/vect"
+)
+
+// Entry is the program lagoond.
+func Entry() daemon.Daemon {
+	return daemon.Daemon{
+		Name:  "lagoond",
+		Usage: "accept callers and operators, route requests and schedule tasks",
+		Role:  proc.Entry,
+		Start: startEntry,
+	}
+}
+
+func startEntry(s proc.Settings, log logs.Log) (func(), error) {
+	platform := &rpcs.Client{Addr: s.Platform}
+	e := entry.New(s, serve.TableOf(platform), serve.StoreOf(platform), log)
+	if err := e.Start(); err != nil {
+		return nil, err
+	}
+	return e.Stop, nil
+}
+
+// Agent is the program lagoonlet.
+func Agent() daemon.Daemon {
+	return daemon.Daemon{
+		Name:  "lagoonlet",
+		Usage: "announce a minion or worker, admit its calls and relay its orders",
+		Role:  proc.Agent,
+		Start: startAgent,
+	}
+}
+
+func startAgent(s proc.Settings, log logs.Log) (func(), error) {
+	var w plat.Worker
+	if s.Worker.Name != "" {
+		w = serve.WorkerOf(&rpcs.Client{Addr: s.Worker.Address}, s.Worker.Name)
+	}
+	a, err := agent.New(s, w, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.Start(); err != nil {
+		return nil, err
+	}
+	return a.Stop, nil
+}
+
+// Platform is the program lagoonstand.
+func Platform() daemon.Daemon {
+	return daemon.Daemon{
+		Name:  "lagoonstand",
+		Usage: "stand in for the platform in tests and trials",
+		Role:  proc.Platform,
+		Start: startPlatform,
+	}
+}
+
+// bodyLimit bounds a request to switch faults.
+const bodyLimit = 1 << 20
+
+func startPlatform(s proc.Settings, log logs.Log) (func(), error) {
+	p := &stand.Platform{}
+	for _, w := range s.Stand.Workers {
+		p.AddWorker(w.Name, vect.Size{Cores: int64(w.Cores * 1000), Memory: int64(w.Memory) >> 20, Accel: w.Accel})
+	}
+	for _, m := range s.Stand.Minions {
+		p.AddMinion(m.Name, m.Address, nil)
+	}
+	if err := p.Serve(s.Platform); err != nil {
+		return nil, err
+	}
+	h, err := httpd.Listen(s.Operator, bodyLimit)
+	if err != nil {
+		return nil, err
+	}
+	p.Operate(h)
+	h.Start()
+	log.Info(logs.Started, logs.Fields{"platform": p.Addr(), "operator": h.Addr()})
+	return p.Close, nil
+}
--- /dev/null
+++ b/internal/route/limits.go
@@ -0,0 +1,59 @@
+package route
+
+import "time"
+
+// Limits are a service's settings as far as routing needs them. A zero field
+// means its default.
+type Limits struct {
+	Service string
+	// Timeout is the longest budget of a request.
+	Timeout time.Duration
+	// Queue is the most requests that wait at one entry.
+	Queue int
+	// Retries is the most sendings after the first that a request may have
+	// for refusals, and Rate the tokens that each arrival adds to the budget
+	// for retries after a doubt and for hedges.
+	Retries int
+	Rate    float64
+	// Hedge turns hedging of idempotent requests on.
+	Hedge bool
+	// Silent is the age of the last announcement after which a minion gets
+	// nothing new.
+	Silent time.Duration
+	// Eject is the number of refusals or breaks in a row that eject a minion.
+	Eject int
+	// Share is the largest share of minions that may be ejected.
+	Share float64
+	// Spare is how many requests beyond its free slots an agent is sent.
+	Spare int
+}
+
+// Defaults for zero fields of Limits.
+const (
+	defaultTimeout = 2 * time.Second
+	defaultQueue   = 1000
+	defaultRetries = 8
+	defaultRate    = 0.1
+	defaultSilent  = 2 * time.Second
+	defaultEject   = 5
+	defaultShare   = 0.34
+)
+
+func (l Limits) withDefaults() Limits {
+	l.Timeout = or(l.Timeout, defaultTimeout)
+	l.Queue = or(l.Queue, defaultQueue)
+	l.Retries = or(l.Retries, defaultRetries)
+	l.Rate = or(l.Rate, defaultRate)
+	l.Silent = or(l.Silent, defaultSilent)
+	l.Eject = or(l.Eject, defaultEject)
+	l.Share = or(l.Share, defaultShare)
+	return l
+}
+
+func or[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
--- /dev/null
+++ b/internal/rpcs/pool.go
@@ -0,0 +1,55 @@
+package rpcs
+
+import (
+	"sync"
+	"time"
+)
+
+// Pool keeps one client for each peer. The zero value works.
+type Pool struct {
+	// Delay returns the one-way delay towards a peer; it may be nil.
+	Delay func(addr string) time.Duration
+
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// Get returns the client of a peer.
+func (p *Pool) Get(addr string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[addr]
+	if c != nil {
+		return c
+	}
+	c = &Client{Addr: addr}
+	if p.Delay != nil {
+		c.Delay = func() time.Duration { return p.Delay(addr) }
+	}
+	if p.clients == nil {
+		p.clients = map[string]*Client{}
+	}
+	p.clients[addr] = c
+	return c
+}
+
+// Drop closes and forgets the client of a peer.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	c := p.clients[addr]
+	delete(p.clients, addr)
+	p.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+}
+
+// Close closes all clients.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.Close()
+	}
+	p.clients = nil
+}
--- /dev/null
+++ b/internal/scene/verbs_test.go
@@ -0,0 +1,83 @@
+package scene
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func portName(i int) string { return fmt.Sprintf("P%d", i) }
+
+// fill replaces $NAME in files by the script's variables.
+func fill(ts *testscript.TestScript, _ bool, args []string) {
+	for _, f := range args {
+		text := os.Expand(ts.ReadFile(f), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(f), []byte(text), 0o600))
+	}
+}
+
+// untilWithin bounds the wait of until.
+const untilWithin = 30 * time.Second
+
+// until repeats a program until its output matches: until 'text' program args...
+func until(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: until 'text' program args...")
+	}
+	end := time.Now().Add(untilWithin)
+	for {
+		out, err := output(ts, args[1:])
+		if (err == nil && strings.Contains(out, args[0])) != neg {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("until %q: last output %s, %v", args[0], out, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func output(ts *testscript.TestScript, args []string) (string, error) {
+	c := exec.Command(args[0], args[1:]...)
+	c.Dir = ts.MkAbs(".")
+	c.Env = append(os.Environ(), "PATH="+ts.Getenv("PATH"))
+	if path, err := lookPath(ts, args[0]); err == nil {
+		c.Path = path
+		c.Err = nil
+	}
+	out, err := c.CombinedOutput()
+	return string(out), err
+}
+
+func lookPath(ts *testscript.TestScript, name string) (string, error) {
+	for _, dir := range strings.Split(ts.Getenv("PATH"), string(os.PathListSeparator)) {
+		p := dir + "/" + name
+		if st, err := os.Stat(p); err == nil && st.Mode()&0o111 != 0 {
+			return p, nil
+		}
+	}
+	return "", os.ErrNotExist
+}
+
+// signal sends a signal to a background process of the script that wrote its
+// number into a file: signal KILL pidfile.
+func signal(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 2 {
+		ts.Fatalf("usage: signal KILL|TERM|STOP|CONT pidfile")
+	}
+	sig, ok := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}[args[0]]
+	if !ok {
+		ts.Fatalf("signal %s is not known", args[0])
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(args[1])))
+	ts.Check(err)
+	ts.Check(syscall.Kill(pid, sig))
+}
--- /dev/null
+++ b/internal/stand/object/object.go
@@ -0,0 +1,63 @@
+// Package object is a stand-in for the platform's object store.
+package object
+
+import (
+	"bytes"
+	"context"
+	"sync"
+
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/stand/flaw"
+)
+
+// Store is an in-memory object store. Its zero value is empty and works.
+type Store struct {
+	flaw.Switch
+
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+// Adapter returns the store as the platform's interface.
+func (s *Store) Adapter() plat.Store {
+	return plat.Store{Put: s.Put, Get: s.Get, Delete: s.Delete}
+}
+
+// Put writes an object.
+func (s *Store) Put(ctx context.Context, name string, data []byte) error {
+	if err := s.Before(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if s.data == nil {
+		s.data = map[string][]byte{}
+	}
+	s.data[name] = bytes.Clone(data)
+	s.mu.Unlock()
+	return s.After()
+}
+
+// Get reads an object.
+func (s *Store) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := s.Before(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.data[name]
+	if !ok {
+		return nil, plat.ErrMissing
+	}
+	return d, nil
+}
+
+// Delete removes an object.
+func (s *Store) Delete(ctx context.Context, name string) error {
+	if err := s.Before(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	delete(s.data, name)
+	s.mu.Unlock()
+	return s.After()
+}
--- /dev/null
+++ b/internal/tree/decode.go
@@ -0,0 +1,155 @@
+package tree
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Decode fills v, a pointer to a struct, and reports every error it finds.
+func (t *Tree) Decode(v any) error {
+	d := decoder{tree: t}
+	d.value(t.root, "", reflect.ValueOf(v).Elem())
+	return errors.Join(d.errs...)
+}
+
+type decoder struct {
+	tree *Tree
+	errs []error
+}
+
+var unmarshaler = reflect.TypeFor[yaml.Unmarshaler]()
+
+func (d *decoder) errorf(n *yaml.Node, path, format string, args ...any) {
+	d.errs = append(d.errs, d.tree.errorf(n, path, format, args...))
+}
+
+func (d *decoder) value(n *yaml.Node, path string, v reflect.Value) {
+	switch {
+	case v.Addr().Type().Implements(unmarshaler):
+		d.leaf(n, path, v)
+	case v.Kind() == reflect.Struct:
+		d.object(n, path, v)
+	case v.Kind() == reflect.Slice:
+		d.list(n, path, v)
+	default:
+		d.leaf(n, path, v)
+	}
+}
+
+func (d *decoder) leaf(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.ScalarNode {
+		d.errorf(n, path, "a single value is wanted")
+		return
+	}
+	err := n.Decode(v.Addr().Interface())
+	var typeErr *yaml.TypeError
+	switch {
+	case errors.As(err, &typeErr):
+		d.errorf(n, path, "%q is not %s", n.Value, kind(v.Type()))
+	case err != nil:
+		d.errorf(n, path, "%v", err)
+	}
+}
+
+// kind names a type for a person.
+func kind(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	}
+	return "a text"
+}
+
+func (d *decoder) object(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.MappingNode {
+		d.errorf(n, path, "a mapping is wanted")
+		return
+	}
+	fields := fieldsOf(v.Type())
+	for i := 0; i < len(n.Content); i += 2 {
+		k := n.Content[i]
+		p := join(path, k.Value)
+		f, ok := fields[k.Value]
+		if !ok {
+			d.errorf(k, p, "unknown key; known are %s", known(v.Type()))
+			continue
+		}
+		d.value(n.Content[i+1], p, v.Field(f))
+	}
+}
+
+func (d *decoder) list(n *yaml.Node, path string, v reflect.Value) {
+	if n.Kind != yaml.SequenceNode {
+		d.errorf(n, path, "a list is wanted")
+		return
+	}
+	out := reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content))
+	for i, c := range n.Content {
+		d.value(c, item(n, i, path), out.Index(i))
+	}
+	v.Set(out)
+}
+
+func fieldsOf(t reflect.Type) map[string]int {
+	m := map[string]int{}
+	for i := range t.NumField() {
+		if name := Key(t.Field(i)); name != "" {
+			m[name] = i
+		}
+	}
+	return m
+}
+
+// Key returns the key of a struct's field in files, or an empty string.
+func Key(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	if name == "-" {
+		return ""
+	}
+	return name
+}
+
+func known(t reflect.Type) string {
+	var names []string
+	for i := range t.NumField() {
+		if name := Key(t.Field(i)); name != "" {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+// Errorf returns an error at the value with the given path, or at the nearest
+// one above it that exists.
+func (t *Tree) Errorf(path, format string, args ...any) error {
+	best, depth := t.root, -1
+	t.find(t.root, "", path, &best, &depth)
+	return fmt.Errorf("%s: %s: %s", t.position(best), path, fmt.Sprintf(format, args...))
+}
+
+func (t *Tree) find(n *yaml.Node, at, path string, best **yaml.Node, depth *int) {
+	if !strings.HasPrefix(path, at) {
+		return
+	}
+	if len(at) > *depth {
+		*best, *depth = n, len(at)
+	}
+	switch n.Kind {
+	case yaml.MappingNode:
+		for i := 0; i < len(n.Content); i += 2 {
+			t.find(n.Content[i+1], join(at, n.Content[i].Value), path, best, depth)
+		}
+	case yaml.SequenceNode:
+		for i, c := range n.Content {
+			t.find(c, item(n, i, at), path, best, depth)
+		}
+	}
+}
--- /dev/null
+++ b/internal/unit/unit.go
@@ -0,0 +1,62 @@
+// Package unit reads amounts with their units from settings: spans of time and
+// numbers of bytes.
+package unit
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/docker/go-units"
+	"go.yaml.in/yaml/v3"
+)
+
+// Span is a length of time. In files it is written as in "250ms" or "8.3s"; a
+// number without a unit is an error.
+type Span time.Duration
+
+// UnmarshalYAML reads a span.
+func (s *Span) UnmarshalYAML(n *yaml.Node) error {
+	d, err := time.ParseDuration(n.Value)
+	if err != nil || n.Kind != yaml.ScalarNode {
+		return fmt.Errorf("%q is not a span of time such as 250ms or 2s", n.Value)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// MarshalYAML writes a span.
+func (s Span) MarshalYAML() (any, error) { return s.String(), nil }
+
+func (s Span) String() string { return time.Duration(s).String() }
+
+// Std returns the span as the standard library's type.
+func (s Span) Std() time.Duration { return time.Duration(s) }
+
+// Bytes is a number of bytes. In files it is written as in "1MiB"; a number
+// without a unit is an error.
+type Bytes int64
+
+// UnmarshalYAML reads a number of bytes.
+func (b *Bytes) UnmarshalYAML(n *yaml.Node) error {
+	v, err := units.RAMInBytes(n.Value)
+	if err != nil || n.Kind != yaml.ScalarNode || n.Tag != "!!str" {
+		return fmt.Errorf("%q is not a number of bytes such as 64KiB or 4GiB", n.Value)
+	}
+	*b = Bytes(v)
+	return nil
+}
+
+// MarshalYAML writes a number of bytes.
+func (b Bytes) MarshalYAML() (any, error) { return b.String(), nil }
+
+func (b Bytes) String() string {
+	for _, u := range []struct {
+		size Bytes
+		name string
+	}{{units.GiB, "GiB"}, {units.MiB, "MiB"}, {units.KiB, "KiB"}} {
+		if b >= u.size && b%u.size == 0 {
+			return fmt.Sprintf("%d%s", b/u.size, u.name)
+		}
+	}
+	return fmt.Sprintf("%dB", int64(b))
+}
