trial: routing experiments in virtual time, beside baselines and the limit

Cause: the routing policy had no measurement. Change: package trial runs the route and admit cores with a fake network and fake minions, four plain policies, and one central queue, on the same arrivals.

--- /dev/null
+++ b/internal/loadcmd/exp.go
@@ -0,0 +1,32 @@
+package loadcmd
+
+import (
+	"context"
+	"errors"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonrack/internal/trial"
+)
+
+func expCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "exp",
+		Usage:     "run a routing experiment in virtual time",
+		ArgsUsage: "FILE",
+		Action:    exp,
+	}
+}
+
+func exp(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("exp: exactly one experiment file is needed")
+	}
+	cfg, err := trial.Read(c.Args().First())
+	if err != nil {
+		return err
+	}
+	all := trial.Run(cfg)
+	trial.Print(c.Root().Writer, cfg, all)
+	return nil
+}
--- /dev/null
+++ b/internal/trial/config.go
@@ -0,0 +1,136 @@
+// Package trial runs routing policies against the same arrivals in virtual
+// time: the cores of package route and admit with a fake network and fake
+// minions, plain baselines, and the limit, which is one central queue that
+// knows at every instant which slot is free.
+package trial
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"time"
+
+	"lagoonrack/internal/tree"
+	"lagoonrack/internal/unit"
+)
+
+// Config is an experiment, as an experiment file gives it.
+type Config struct {
+	Name     string    `yaml:"name" doc:"Name of the experiment and of its report."`
+	About    string    `yaml:"about" doc:"What the experiment asks."`
+	Entries  []int     `yaml:"entries" doc:"Numbers of entries to try."`
+	Minions  int       `yaml:"minions" doc:"Number of minions."`
+	Slots    int       `yaml:"slots" doc:"Slots of a minion."`
+	Spare    int       `yaml:"spare" doc:"Calls that an agent may hold beyond its slots."`
+	Near     unit.Span `yaml:"near" doc:"One-way delay in an availability zone."`
+	Far      unit.Span `yaml:"far" doc:"One-way delay between availability zones."`
+	Zones    int       `yaml:"zones" doc:"Number of availability zones."`
+	Median   unit.Span `yaml:"median" doc:"Median run time of short requests."`
+	Sigma    float64   `yaml:"sigma" doc:"Spread of run times."`
+	Long     float64   `yaml:"long" doc:"Share of stragglers."`
+	Factor   float64   `yaml:"factor" doc:"Run time of a straggler in medians."`
+	Loads    []float64 `yaml:"loads" doc:"Offered loads, as shares of all slots."`
+	Crest    float64   `yaml:"crest" doc:"Load at the crest; 0 for a steady load."`
+	Rise     unit.Span `yaml:"rise" doc:"Time in which the load rises to the crest."`
+	Hold     unit.Span `yaml:"hold" doc:"Time that the crest lasts."`
+	Warm     unit.Span `yaml:"warm" doc:"Time before the measurement."`
+	For      unit.Span `yaml:"for" doc:"Time of the measurement, without a crest's."`
+	Timeout  unit.Span `yaml:"timeout" doc:"Callers' budget."`
+	Tries    int       `yaml:"tries" doc:"How often a caller tries."`
+	Hedge    bool      `yaml:"hedge" doc:"Whether requests are idempotent and hedged."`
+	Rate     float64   `yaml:"rate" doc:"Budget of retries and hedges, as a share of requests."`
+	Seeds    []uint64  `yaml:"seeds" doc:"Seeds to run."`
+	Policies []string  `yaml:"policies" doc:"Policies to compare: late, robin, random, least or two."`
+	Fault    Fault     `yaml:"fault" doc:"What goes wrong with the first minion."`
+}
+
+// Fault is what goes wrong with the first minion.
+type Fault struct {
+	Kind   string    `yaml:"kind" doc:"slow, refuse, pause, or nothing."`
+	At     unit.Span `yaml:"at" doc:"When it begins."`
+	For    unit.Span `yaml:"for" doc:"How long it lasts."`
+	Factor float64   `yaml:"factor" doc:"How many times slower."`
+}
+
+// Read reads an experiment file.
+func Read(file string) (Config, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Config{}, err
+	}
+	return Parse(file, data)
+}
+
+// Parse reads an experiment.
+func Parse(file string, data []byte) (Config, error) {
+	var c Config
+	t, err := tree.Parse(file, data)
+	if err != nil {
+		return c, err
+	}
+	if err := t.Decode(&c); err != nil {
+		return c, err
+	}
+	return c, c.check(t)
+}
+
+func (c Config) check(t *tree.Tree) error {
+	var errs []error
+	want := func(ok bool, path, format string, args ...any) {
+		if !ok {
+			errs = append(errs, t.Errorf(path, format, args...))
+		}
+	}
+	want(c.Name != "", "name", "a name is needed")
+	want(len(c.Entries) > 0, "entries", "at least one number is needed")
+	want(c.Minions > 0 && c.Slots > 0, "minions", "minions and slots must be above 0")
+	want(c.Zones > 0, "zones", "%d is less than 1", c.Zones)
+	want(c.Median > 0, "median", "%s is not above 0", c.Median)
+	want(len(c.Loads) > 0, "loads", "at least one load is needed")
+	want(len(c.Seeds) > 0, "seeds", "at least one seed is needed")
+	want(c.For > 0, "for", "%s is not above 0", c.For)
+	want(c.Timeout > 0, "timeout", "%s is not above 0", c.Timeout)
+	for i, p := range c.Policies {
+		_, ok := policies[p]
+		want(ok, fmt.Sprintf("policies[%d]", i), "there is no policy %q", p)
+	}
+	switch c.Fault.Kind {
+	case "", "slow", "refuse", "pause":
+	default:
+		want(false, "fault.kind", "there is no fault %q", c.Fault.Kind)
+	}
+	return errors.Join(errs...)
+}
+
+// mean returns the mean run time.
+func (c Config) mean() time.Duration {
+	m := float64(c.Median) * math.Exp(c.Sigma*c.Sigma/2)
+	return time.Duration(m * (1 - c.Long + c.Long*c.Factor))
+}
+
+// capacity returns the requests a second that all slots serve.
+func (c Config) capacity() float64 {
+	return float64(c.Minions*c.Slots) / c.mean().Seconds()
+}
+
+// length returns the time of the whole run.
+func (c Config) length() time.Duration {
+	return c.Warm.Std() + c.For.Std() + c.Rise.Std() + c.Hold.Std()
+}
+
+// load returns the offered load at a time.
+func (c Config) load(base float64, at time.Duration) float64 {
+	if c.Crest == 0 {
+		return base
+	}
+	up := c.Warm.Std()
+	top := up + c.Rise.Std()
+	switch {
+	case at < up || at >= top+c.Hold.Std():
+		return base
+	case at < top:
+		return base + (c.Crest-base)*float64(at-up)/float64(top-up)
+	}
+	return c.Crest
+}
