admit: a slot that is kept for an entry may be taken by another

Cause: with slots reserved for entries, one bid to ten agents kept ten slots free for a round trip; at 90% load every second request waited beside a free slot, and with three calls ahead agents and entries exchanged bids and grants without end. Change: a grant is a hint that reserves nothing.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -173,7 +173,7 @@
 // Busy returns the number of calls that run or wait.
 func (c *Core) Busy() int { return c.running + len(c.waiting) }
 
-func (c *Core) free() int { return max(0, c.Slots-c.running-len(c.waiting)-c.reserved) }
+func (c *Core) free() int { return max(0, c.Slots-c.running-len(c.waiting)) }
 
 func (c *Core) from(name string) *entry {
 	e := c.entries[name]
@@ -189,7 +189,7 @@
 	en := c.from(e.Entry)
 	en.seen = max(en.seen, e.Serial)
 	c.note(en, e.Waiting, e.Age)
-	held := c.unhold(en)
+	c.unhold(en)
 	k := key{e.ID, e.Attempt}
 	if old := c.calls[k]; old != nil {
 		c.repeat(old, en)
@@ -199,7 +199,7 @@
 		c.emit(Reply{ID: e.ID, Attempt: e.Attempt, Result: c.stamp(wire.Result{Broken: "duplicate"}, en)})
 		return
 	}
-	if reason := c.refusal(e, held); reason != "" {
+	if reason := c.refusal(e); reason != "" {
 		c.refuse(e, en, reason)
 		c.grants()
 		return
@@ -241,7 +241,7 @@
 	c.emit(Reply{ID: old.id, Attempt: old.attempt, Result: c.stamp(r, en)})
 }
 
-func (c *Core) refusal(e Call, held bool) string {
+func (c *Core) refusal(e Call) string {
 	switch {
 	case e.Incarnation != c.Incarnation:
 		return "incarnation"
@@ -251,8 +251,6 @@
 		return "late"
 	case c.running+len(c.waiting) >= c.Slots+c.Queue:
 		return "full"
-	case !held && c.running+len(c.waiting)+c.reserved >= c.Slots+c.Queue:
-		return "full"
 	}
 	return ""
 }
--- a/internal/trial/arrive.go
+++ b/internal/trial/arrive.go
@@ -70,6 +70,9 @@
 	return f.At.Std() + f.For.Std(), true
 }
 
+// roundTrip returns the longest round trip between an entry and a minion.
+func (c Config) roundTrip() time.Duration { return 2 * c.Far.Std() }
+
 // delay returns the one-way delay between an entry and a minion.
 func (c Config) delay(entry, minion int) time.Duration {
 	d := unit.Span(c.Far)
