route: a call may wait at an agent only if its entry meant it to

Cause: an entry that believed a slot free often met a full agent, which let the call wait although slots were free elsewhere; and entries held requests back while every slot was busy, so a slot idled for a round trip at each hand-over. Change: an entry without a known free slot sends one call ahead to each agent (push: 1, spare: 2) and marks it; an unmarked call is refused when no slot is free.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -249,7 +249,7 @@
 		return "leaving"
 	case e.Budget <= 0:
 		return "late"
-	case c.running+len(c.waiting) >= c.Slots+c.Queue:
+	case c.running+len(c.waiting) >= c.Slots && !e.Queue, c.running+len(c.waiting) >= c.Slots+c.Queue:
 		return "full"
 	}
 	return ""
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -94,6 +94,7 @@
 		c.want(v.Slots >= 1 && v.Slots <= 10000, p+".slots", "%d is not between 1 and 10000", v.Slots)
 		c.want(v.Minions >= 0 && v.Minions <= maxEvery, p+".minions", "%d is not between 0 and %d", v.Minions, maxEvery)
 		c.want(v.Spare >= 0 && v.Spare <= v.Slots, p+".spare", "%d is not between 0 and the slots, %d", v.Spare, v.Slots)
+		c.want(v.Push >= 0 && v.Push <= v.Spare, p+".push", "%d is not between 0 and spare, %d", v.Push, v.Spare)
 		c.want(v.Retries >= 0 && v.Retries <= 100, p+".retries", "%d is not between 0 and 100", v.Retries)
 		c.want(v.Rate >= 0 && v.Rate <= 1, p+".rate", "%g is not a share from 0 to 1", v.Rate)
 		c.want(v.Eject >= 1, p+".eject", "%d is less than 1", v.Eject)
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -46,6 +46,7 @@
 	Minions   int        `yaml:"minions" doc:"Number of minions that the site expects."`
 	Slots     int        `yaml:"slots" doc:"Requests that one minion runs at a time."`
 	Spare     int        `yaml:"spare" doc:"Calls that one agent may hold beyond its slots."`
+	Push      int        `yaml:"push" doc:"Calls beyond its free slots that an entry sends an agent unasked; at most spare."`
 	Retries   int        `yaml:"retries" doc:"Most sendings after the first."`
 	Rate      float64    `yaml:"rate" doc:"Share of requests that may be retried in doubt or hedged."`
 	Hedge     bool       `yaml:"hedge" doc:"Whether slow idempotent requests are sent twice."`
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -44,6 +44,7 @@
 		call.Attempt = f.Attempt
 		call.Incarnation = f.Incarnation
 		call.Serial = f.Serial
+		call.Queue = f.Queue
 		call.Budget = f.Budget
 		call.Waiting = f.Waiting
 		call.Age = f.Age
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -279,6 +279,7 @@
 			Hedge:   v.Hedge,
 			Silent:  s.Lease.Silent.Std(),
 			Eject:   v.Eject,
+			Spare:   v.Push,
 		})
 	}
 	return out
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -213,6 +213,7 @@
 		r.queued = false
 		r.waited += c.now - r.since
 	}
+	queue := m.free(0) <= 0
 	m.serial++
 	m.live++
 	m.granted = max(0, m.granted-1)
@@ -229,6 +230,7 @@
 		Incarnation: m.incarnation,
 		Budget:      r.deadline - c.now,
 		Serial:      m.serial,
+		Queue:       queue,
 		Waiting:     r.svc.queue.length,
 		Age:         age,
 	})
--- a/internal/route/event.go
+++ b/internal/route/event.go
@@ -83,6 +83,8 @@
 	Incarnation string
 	Budget      time.Duration
 	Serial      uint64
+	// Queue allows the agent to let the call wait for a slot.
+	Queue bool
 	// Waiting and Age say what still waits at the entry, as in a Bid.
 	Waiting int
 	Age     time.Duration
--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -23,6 +23,7 @@
 	Minions  int       `yaml:"minions" doc:"Number of minions."`
 	Slots    int       `yaml:"slots" doc:"Slots of a minion."`
 	Spare    int       `yaml:"spare" doc:"Calls that an agent may hold beyond its slots."`
+	Push     int       `yaml:"push" doc:"Calls beyond its free slots that an entry sends an agent unasked."`
 	Near     unit.Span `yaml:"near" doc:"One-way delay in an availability zone."`
 	Far      unit.Span `yaml:"far" doc:"One-way delay between availability zones."`
 	Zones    int       `yaml:"zones" doc:"Number of availability zones."`
--- a/internal/trial/late.go
+++ b/internal/trial/late.go
@@ -88,6 +88,7 @@
 		Queue:   1 << 20,
 		Hedge:   w.cfg.Hedge,
 		Rate:    w.cfg.Rate,
+		Spare:   w.cfg.Push,
 	}})
 	// Ticks of the entries are not in step.
 	w.After(time.Duration(i)*time.Millisecond, func() {
@@ -177,6 +178,7 @@
 		Incarnation: s.Incarnation,
 		Entry:       fmt.Sprint(e.index),
 		Serial:      s.Serial,
+		Queue:       s.Queue,
 		Waiting:     s.Waiting,
 		Age:         s.Age,
 		Service:     service,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -53,6 +53,9 @@
 	// incarnation.
 	Entry  string
 	Serial uint64
+	// Queue allows the agent to let the call wait for a slot. Without it the
+	// entry believed that a slot was free, and would rather try another agent.
+	Queue bool
 	// Waiting and Age say what still waits at the entry, as in a Bid.
 	Waiting int
 	Age     time.Duration
