--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -40,13 +40,11 @@
 
 	led     ledger.Ledger
 	workers map[string]*worker
-	// list holds the workers in order of their first beat, and byName the
-	// newest start of each.
-	list   []*worker
-	byName map[string]*worker
-	book   book
-	usage  map[string]vect.Size
-	kinds  map[string]kind
+	// list holds the workers in order of their first beat.
+	list  []*worker
+	book  book
+	usage map[string]vect.Size
+	kinds map[string]kind
 
 	draft    []ledger.Record
 	held     []Effect
@@ -73,13 +71,9 @@
 	held []Effect
 }
 
-const (
-	// snapEvery is the number of pages between snapshots.
-	snapEvery = 128
-	// pagesKept is the most pages after the newest stored snapshot. It is less
-	// than the number of rows that pages rotate through.
-	pagesKept = 1000
-)
+// pagesKept is the most pages after the newest stored snapshot. It is less than
+// the number of rows that pages rotate through.
+const pagesKept = 1000
 
 // New returns the core of an owner that took the cell over at time zero, from
 // the state that it found. Epoch is the wall-clock time of time zero in
@@ -92,7 +86,6 @@
 		rng:     rand.New(rand.NewPCG(seed, term)),
 		led:     found,
 		workers: map[string]*worker{},
-		byName:  map[string]*worker{},
 		usage:   map[string]vect.Size{},
 		kinds:   map[string]kind{},
 		snapped: saved,
@@ -132,13 +125,12 @@
 
 func (c *Core) place(j *ledger.Job, index int, t *ledger.Task, w *worker) *place {
 	return &place{
-		id:      ledger.TaskID(j.Spec.Name, index),
-		job:     j.Spec.Name,
-		index:   index,
-		attempt: t.Attempt,
-		size:    j.Spec.Size,
-		worker:  w,
-		saved:   t.Saved,
+		Ref:    plat.Ref{Task: ledger.TaskID(j.Spec.Name, index), Attempt: t.Attempt},
+		job:    j.Spec.Name,
+		index:  index,
+		size:   j.Spec.Size,
+		worker: w,
+		saved:  t.Saved,
 	}
 }
 
@@ -146,7 +138,7 @@
 	k := key(name, incarnation)
 	w := c.workers[k]
 	if w == nil {
-		w = &worker{name: name, incarnation: incarnation, places: map[string]*place{}}
+		w = &worker{name: name, incarnation: incarnation, places: map[plat.Ref]*place{}}
 		c.workers[k] = w
 		c.list = append(c.list, w)
 	}
@@ -244,7 +236,7 @@
 	c.draft, c.held = nil, nil
 	c.lastPage = c.now
 	c.paged = true
-	if c.led.Seq-c.snapped >= snapEvery {
+	if c.led.Seq-c.snapped >= c.limits.Snap {
 		c.snapshot()
 	}
 	c.emit(Commit{Page: c.inflight.Page})
@@ -276,8 +268,8 @@
 	case ledger.End, ledger.Fail, ledger.Back, ledger.Lose:
 		w := c.workers[key(r.Worker, r.Incarnation)]
 		if p := c.placeOf(w, r); p != nil && p.ended {
-			delete(w.places, p.id)
-			w.acks = append(w.acks, p.id)
+			delete(w.places, p.Ref)
+			w.acks = append(w.acks, p.Ref)
 			c.tell(w)
 		}
 	}
@@ -287,11 +279,7 @@
 	if w == nil {
 		return nil
 	}
-	p := w.places[ledger.TaskID(r.Name, r.Task)]
-	if p == nil || p.attempt != r.Attempt {
-		return nil
-	}
-	return p
+	return w.places[plat.Ref{Task: ledger.TaskID(r.Name, r.Task), Attempt: r.Attempt}]
 }
 
 // snapshot encodes the ledger as of the page that has just been formed, to be
@@ -307,7 +295,7 @@
 }
 
 // Unsaved says that the newest snapshot could not be stored.
-func (c *Core) Unsaved() { c.snapped = c.led.Seq - snapEvery/2 }
+func (c *Core) Unsaved() { c.snapped = max(c.saved, c.led.Seq-min(c.led.Seq, c.limits.Snap/2)) }
 
 func (c *Core) tick() {
 	for _, w := range c.list {
@@ -351,10 +339,7 @@
 	for _, w := range c.list {
 		if len(w.places) == 0 && c.now > w.until && c.now-w.heard > c.limits.Run {
 			delete(c.workers, key(w.name, w.incarnation))
-			if c.byName[w.name] == w {
-				delete(c.byName, w.name)
-			}
-			if w.beaten && !w.gone {
+			if w.beaten {
 				c.emit(Note{Kind: "silent", Worker: w.name, Reason: "silent"})
 			}
 			continue
@@ -419,7 +404,7 @@
 func (c *Core) adopt(w *worker, o *plat.Orders) {
 	for _, p := range w.sorted() {
 		if p.seen && !p.ended {
-			o.Keep = append(o.Keep, p.id)
+			o.Keep = append(o.Keep, p.Ref)
 		}
 	}
 }
@@ -431,11 +416,10 @@
 		length = s.Runtime
 	}
 	return plat.Run{
-		Task:    p.id,
-		Attempt: p.attempt,
-		Kind:    s.Kind,
-		Size:    p.size,
-		Length:  length,
-		Resume:  p.saved,
+		Ref:    p.Ref,
+		Kind:   s.Kind,
+		Size:   p.size,
+		Length: length,
+		Resume: p.saved,
 	}
 }
--- a/internal/cell/limits.go
+++ b/internal/cell/limits.go
@@ -29,6 +29,8 @@
 	Largest []vect.Size
 	// Teams holds the quota of each team; a zero dimension is without limit.
 	Teams map[string]vect.Size
+	// Snap is the number of pages between snapshots.
+	Snap uint64
 	// Naive turns learning, classes and guards off, for comparison.
 	Naive bool
 }
@@ -42,6 +44,7 @@
 	defaultGap      = 300 * time.Millisecond
 	defaultAttempts = 3
 	defaultTasks    = 10000
+	defaultSnap     = 128
 )
 
 func (l Limits) withDefaults() Limits {
@@ -52,6 +55,7 @@
 	l.Gap = or(l.Gap, defaultGap)
 	l.Attempts = or(l.Attempts, defaultAttempts)
 	l.Tasks = or(l.Tasks, defaultTasks)
+	l.Snap = or(l.Snap, defaultSnap)
 	return l
 }
 
--- a/internal/cell/operate.go
+++ b/internal/cell/operate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lagoonrack/internal/ledger"
+	"lagoonrack/internal/plat"
 	"lagoonrack/internal/vect"
 )
 
@@ -105,24 +106,39 @@
 	if w == nil {
 		return nil
 	}
-	return w.places[ledger.TaskID(name, index)]
+	return w.places[plat.Ref{Task: ledger.TaskID(name, index), Attempt: t.Attempt}]
 }
 
 func (c *Core) drain(e Drain) {
-	w := c.byName[e.Worker]
-	if w == nil {
+	all := c.starts(e.Worker)
+	if len(all) == 0 {
 		c.emit(Done{Token: e.Token, Reason: "missing", Text: fmt.Sprintf("there is no worker %q", e.Worker)})
 		return
 	}
-	w.drained = !e.Off
-	text := "draining"
+	text, op := "draining", ledger.Drain
 	if e.Off {
-		text = "in use again"
+		text, op = "in use again", ledger.Restore
 		c.dirty = true
-	} else {
-		c.empty(w, "drain")
 	}
-	c.emit(Done{Token: e.Token, Text: text})
+	c.record(ledger.Record{Op: op, Worker: e.Worker})
+	for _, w := range all {
+		w.drained = !e.Off
+		if w.drained {
+			c.empty(w, "drain")
+		}
+	}
+	c.after(Done{Token: e.Token, Text: text})
+}
+
+// starts returns the known starts of a worker.
+func (c *Core) starts(name string) []*worker {
+	var out []*worker
+	for _, w := range c.list {
+		if w.name == name {
+			out = append(out, w)
+		}
+	}
+	return out
 }
 
 // Job is what an operator sees of a job.
@@ -215,7 +231,7 @@
 		}
 		return ledger.TaskID(out[a].Name, out[a].Task) < ledger.TaskID(out[b].Name, out[b].Task)
 	})
-	return out, len(out) > 0 || c.byName[name] != nil
+	return out, len(out) > 0 || len(c.starts(name)) > 0
 }
 
 // Load is what is committed on one worker.
@@ -245,7 +261,7 @@
 		}
 		for _, p := range w.sorted() {
 			if !p.ended {
-				l.Tasks = append(l.Tasks, p.id)
+				l.Tasks = append(l.Tasks, p.Task)
 			}
 		}
 		out = append(out, l)
@@ -254,6 +270,14 @@
 	return out
 }
 
+// EachLoad calls f with what is committed on each worker, and its size; the
+// size is zero for a worker that was not heard yet.
+func (c *Core) EachLoad(f func(worker string, committed, size vect.Size)) {
+	for _, w := range c.list {
+		f(w.name, w.committed, w.size)
+	}
+}
+
 // Term returns the owner's term.
 func (c *Core) Term() uint64 { return c.term }
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -113,20 +114,23 @@
 	p := c.place(j, index, j.Open[index], w)
 	w.add(p)
 	c.charge(j, p.size, 1)
-	c.emit(Note{Kind: "start", Task: p.id, Worker: w.name})
+	c.emit(Note{Kind: "start", Task: p.Task, Worker: w.name})
 	return true
 }
 
 // choose returns the best of a sample of the workers that have room: the
-// fullest, but not one where the task failed, and rather in another rack than
-// the job's other tasks.
+// fullest, and one where the task failed only if there is no other.
 func (c *Core) choose(j *ledger.Job, avoid []string) *worker {
-	var best *worker
+	var best, last *worker
 	var bestScore float64
 	found := 0
 	for i := range c.draws() {
 		w := c.draw(i)
-		if !w.open(c.now, c.silent()) || !j.Spec.Size.Fits(w.room(c.spare(j))) || contains(avoid, w.name) {
+		if !w.open(c.now, c.silent()) || !j.Spec.Size.Fits(w.room(c.spare(j))) {
+			continue
+		}
+		if slices.Contains(avoid, w.name) {
+			last = w
 			continue
 		}
 		if c.limits.Naive {
@@ -141,6 +145,9 @@
 			break
 		}
 	}
+	if best == nil {
+		return last
+	}
 	return best
 }
 
@@ -168,15 +175,6 @@
 	return c.list[c.rng.IntN(len(c.list))]
 }
 
-func contains(all []string, s string) bool {
-	for _, v := range all {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // makeRoom evicts tasks from one worker so that an urgent task fits there.
 func (c *Core) makeRoom(j *ledger.Job) {
 	var best *worker
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -12,9 +12,7 @@
 	if w.beat != nil {
 		c.answer(w)
 	}
-	if !w.beaten {
-		c.join(w)
-	}
+	c.dirty = c.dirty || !w.beaten
 	w.beaten = true
 	w.heard = c.now
 	w.zone, w.rack = e.Zone, e.Rack
@@ -27,6 +25,7 @@
 		c.dirty = true
 	}
 	c.reconcile(w, e.Tasks)
+	w.drained = c.led.Drained[w.name]
 	if w.leaving || w.drained {
 		c.empty(w, "drain")
 	}
@@ -38,16 +37,6 @@
 	}
 }
 
-// join makes the newest start of a worker the one that new tasks go to.
-func (c *Core) join(w *worker) {
-	if old := c.byName[w.name]; old != nil && old != w {
-		old.gone = true
-		w.drained = old.drained
-	}
-	c.byName[w.name] = w
-	c.dirty = true
-}
-
 // resize takes a new size. Where less is offered than is committed, tasks are
 // evicted until the rest fits.
 func (c *Core) resize(w *worker, size vect.Size) {
@@ -68,12 +57,11 @@
 // reconcile compares what a worker reports with what it is to run.
 func (c *Core) reconcile(w *worker, states []plat.State) {
 	for _, s := range states {
-		p := w.places[s.Task]
-		if p == nil || p.attempt != s.Attempt {
+		if p := w.places[s.Ref]; p != nil {
+			c.state(p, s)
+		} else {
 			c.unknown(w, s)
-			continue
 		}
-		c.state(p, s)
 	}
 }
 
@@ -82,10 +70,10 @@
 func (c *Core) unknown(w *worker, s plat.State) {
 	w.news = true
 	if s.Done {
-		w.acks = append(w.acks, s.Task)
+		w.acks = append(w.acks, s.Ref)
 		return
 	}
-	w.stray = append(w.stray, plat.Stop{Task: s.Task, Attempt: s.Attempt})
+	w.stray = append(w.stray, plat.Stop{Ref: s.Ref})
 }
 
 func (c *Core) state(p *place, s plat.State) {
@@ -114,7 +102,7 @@
 
 func (c *Core) done(p *place) {
 	j := c.led.Jobs[p.job]
-	if p.saved == "" && p.attempt == 1 {
+	if p.saved == "" && p.Attempt == 1 {
 		c.learn(j.Spec.Kind, c.now-p.since, p.used)
 	}
 	if p.worker.worked() {
@@ -175,7 +163,7 @@
 }
 
 func (c *Core) close(p *place, r ledger.Record) {
-	r.Name, r.Task, r.Attempt = p.job, p.index, p.attempt
+	r.Name, r.Task, r.Attempt = p.job, p.index, p.Attempt
 	r.Worker, r.Incarnation = p.worker.name, p.worker.incarnation
 	if !c.record(r) {
 		return
@@ -183,7 +171,7 @@
 	p.worker.free(p)
 	c.charge(c.led.Jobs[p.job], p.size, -1)
 	c.dirty = true
-	c.emit(Note{Kind: string(r.Op), Reason: r.Reason, Task: p.id, Worker: p.worker.name})
+	c.emit(Note{Kind: string(r.Op), Reason: r.Reason, Task: p.Task, Worker: p.worker.name})
 }
 
 // evict asks a worker to end an attempt so that it goes on elsewhere.
@@ -193,7 +181,7 @@
 	}
 	p.stop = reason
 	p.save = c.led.Jobs[p.job].Spec.Checkpoint
-	c.emit(Note{Kind: "evict", Reason: reason, Task: p.id, Worker: p.worker.name})
+	c.emit(Note{Kind: "evict", Reason: reason, Task: p.Task, Worker: p.worker.name})
 	c.press(p)
 }
 
--- /dev/null
+++ b/internal/cell/trace_test.go
@@ -0,0 +1,22 @@
+package cell_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// TestTrace prints the pages of one seed: SEED=544 go test -run Trace.
+func TestTrace(t *testing.T) {
+	seed, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
+	if err != nil {
+		t.Skip("no SEED is given")
+	}
+	c := newChaos(seed, false)
+	c.trace = func(format string, args ...any) { fmt.Printf("%12s "+format+"\n", append([]any{c.Now()}, args...)...) }
+	c.run()
+	for _, b := range c.bad {
+		fmt.Println("broken:", b)
+	}
+}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -16,7 +16,7 @@
 	// size is what the worker offers, and committed the sum over places.
 	size, committed vect.Size
 	// places holds every task that may run on the worker.
-	places map[string]*place
+	places map[plat.Ref]*place
 	// heard is when the last beat came, and until is after the end of every
 	// lease that the worker may hold.
 	heard, until time.Duration
@@ -25,14 +25,12 @@
 	// beaten says that a beat came to this owner.
 	beaten  bool
 	leaving bool
-	// drained is set by an operator.
+	// drained is set by an operator, for all starts of the worker.
 	drained bool
-	// gone says that the worker was started anew under another incarnation.
-	gone bool
 	// beat is the last one that has no answer yet.
 	beat *Beat
 	// acks lists ended tasks whose end is committed.
-	acks []string
+	acks []plat.Ref
 	// stray lists attempts that are to be stopped and have no place.
 	stray []plat.Stop
 	// news says that the next orders tell more than to go on.
@@ -44,12 +42,11 @@
 
 // place is a task on a worker.
 type place struct {
-	id      string
-	job     string
-	index   int
-	attempt int
-	size    vect.Size
-	worker  *worker
+	plat.Ref
+	job    string
+	index  int
+	size   vect.Size
+	worker *worker
 	// ready says that the start is committed.
 	ready bool
 	// sent says that orders may have told the worker.
@@ -126,7 +123,7 @@
 
 // open reports whether new tasks may be placed on the worker.
 func (w *worker) open(now, silent time.Duration) bool {
-	if w.gone || w.leaving || w.drained || !w.confirmed || now-w.heard > silent {
+	if w.leaving || w.drained || !w.confirmed || now-w.heard > silent {
 		return false
 	}
 	if now < w.blocked {
@@ -137,7 +134,7 @@
 
 // add reserves room for a place.
 func (w *worker) add(p *place) {
-	w.places[p.id] = p
+	w.places[p.Ref] = p
 	w.committed = w.committed.Add(p.size)
 	w.live++
 }
@@ -159,10 +156,17 @@
 	for _, p := range w.places {
 		all = append(all, p)
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].id < all[j].id })
+	sort.Slice(all, func(i, j int) bool { return before(all[i].Ref, all[j].Ref) })
 	return all
 }
 
+func before(a, b plat.Ref) bool {
+	if a.Task != b.Task {
+		return a.Task < b.Task
+	}
+	return a.Attempt < b.Attempt
+}
+
 // fill writes what the worker is to do into its orders. Everything that the
 // worker has not confirmed is said again each time, as an answer may be lost.
 func (w *worker) fill(o *plat.Orders, run func(*place) plat.Run) {
@@ -170,9 +174,9 @@
 		switch {
 		case p.ended || !p.ready:
 		case p.stop != "" && p.sent:
-			o.Stops = append(o.Stops, plat.Stop{Task: p.id, Attempt: p.attempt, Save: p.save})
+			o.Stops = append(o.Stops, plat.Stop{Ref: p.Ref, Save: p.save})
 		case p.seen:
-			o.Keep = append(o.Keep, p.id)
+			o.Keep = append(o.Keep, p.Ref)
 		case p.stop == "":
 			p.sent = true
 			o.Starts = append(o.Starts, run(p))
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -32,6 +32,8 @@
 	// Seq is the number of the last page that was applied.
 	Seq  uint64          `cbor:"1,keyasint"`
 	Jobs map[string]*Job `cbor:"2,keyasint"`
+	// Drained holds the names of the workers that an operator empties.
+	Drained map[string]bool `cbor:"3,keyasint"`
 }
 
 // Job is an accepted job.
@@ -83,6 +85,9 @@
 	if l.Jobs == nil {
 		l.Jobs = map[string]*Job{}
 	}
+	if r.Op == Drain || r.Op == Restore {
+		return l.drain(r)
+	}
 	j := l.Jobs[r.Name]
 	if r.Op == Submit {
 		if r.Job == nil || j != nil && !j.expired(r.At) {
@@ -100,6 +105,21 @@
 	return true
 }
 
+func (l *Ledger) drain(r Record) bool {
+	if l.Drained[r.Worker] == (r.Op == Drain) {
+		return false
+	}
+	if r.Op == Restore {
+		delete(l.Drained, r.Worker)
+		return true
+	}
+	if l.Drained == nil {
+		l.Drained = map[string]bool{}
+	}
+	l.Drained[r.Worker] = true
+	return true
+}
+
 // Retention is how long an ended job is remembered, in milliseconds. After
 // that its name may be used again.
 const Retention = 24 * 3600 * 1000
@@ -260,8 +280,18 @@
 // Placed reports whether the task may be running on a worker.
 func (t *Task) Placed() bool { return t.State == "placed" || t.State == "cancelling" }
 
+// encoding sorts keys, so that equal states have equal bytes.
+var encoding = must(cbor.CanonicalEncOptions().EncMode())
+
+func must(m cbor.EncMode, err error) cbor.EncMode {
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // Encode returns a snapshot of the state.
-func (l *Ledger) Encode() ([]byte, error) { return cbor.Marshal(l) }
+func (l *Ledger) Encode() ([]byte, error) { return encoding.Marshal(l) }
 
 // Decode replaces the state by a snapshot.
 func (l *Ledger) Decode(data []byte) error {
@@ -270,7 +300,7 @@
 }
 
 // Encode returns the page's bytes.
-func (p Page) Encode() ([]byte, error) { return cbor.Marshal(p) }
+func (p Page) Encode() ([]byte, error) { return encoding.Marshal(p) }
 
 // DecodePage reads a page.
 func DecodePage(data []byte) (Page, error) {
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -29,6 +29,9 @@
 	Halt Op = "stop"
 	// Cancel withdraws a job.
 	Cancel Op = "cancel"
+	// Drain empties a worker, and Restore uses it again.
+	Drain   Op = "drain"
+	Restore Op = "restore"
 )
 
 // Record is one durable fact of a cell.
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -76,9 +76,8 @@
 
 // Run describes one attempt of a task that a worker is to run.
 type Run struct {
-	Task    string
-	Attempt int
-	Kind    string
+	Ref
+	Kind string
 	// Size is what the task may use.
 	Size vect.Size
 	// Length is how long a stand-in lets the task run; a real worker ignores
@@ -88,18 +87,22 @@
 	Resume string
 }
 
-// Stop orders the end of one attempt.
-type Stop struct {
+// Ref names one attempt of a task.
+type Ref struct {
 	Task    string
 	Attempt int
+}
+
+// Stop orders the end of one attempt.
+type Stop struct {
+	Ref
 	// Save asks for a checkpoint first.
 	Save bool
 }
 
 // State is what a worker says of one attempt.
 type State struct {
-	Task    string
-	Attempt int
+	Ref
 	// Done is true once the attempt no longer runs, however it ended.
 	Done bool
 	// Failed says that it ended by itself without success, and Stopped that it
@@ -134,10 +137,10 @@
 	// refuses orders whose end has passed or is before that of orders it took.
 	Until  time.Duration
 	Starts []Run
-	Keep   []string
+	Keep   []Ref
 	Stops  []Stop
-	// Forget lists ended tasks that need not be reported any more.
-	Forget []string
+	// Forget lists ended attempts that need not be reported any more.
+	Forget []Ref
 }
 
 // Worker is the platform's task runtime on one VM.
--- a/internal/stand/worker/worker.go
+++ b/internal/stand/worker/worker.go
@@ -134,8 +134,8 @@
 	w.term = o.Term
 	w.latest = o.Until
 	for _, id := range o.Forget {
-		if t := w.tasks[id]; t != nil && t.state.Done {
-			delete(w.tasks, id)
+		if t := w.tasks[id.Task]; t != nil && t.state.Done && t.run.Attempt == id.Attempt {
+			delete(w.tasks, id.Task)
 		}
 	}
 	for _, s := range o.Stops {
@@ -145,7 +145,7 @@
 		return plat.ErrFenced
 	}
 	for _, id := range o.Keep {
-		if t := w.tasks[id]; t != nil && !t.state.Done {
+		if t := w.tasks[id.Task]; t != nil && !t.state.Done && t.run.Attempt == id.Attempt {
 			t.until = max(t.until, o.Until)
 		}
 	}
@@ -173,7 +173,7 @@
 	if w.Fail {
 		t.left = min(t.left, failAfter)
 	}
-	t.state = plat.State{Task: r.Task, Attempt: r.Attempt, Used: r.Size, Saved: r.Resume}
+	t.state = plat.State{Ref: r.Ref, Used: r.Size, Saved: r.Resume}
 	if w.tasks == nil {
 		w.tasks = map[string]*task{}
 	}
@@ -204,8 +204,8 @@
 		w.tasks = map[string]*task{}
 	}
 	w.tasks[s.Task] = &task{
-		run:   plat.Run{Task: s.Task, Attempt: s.Attempt},
-		state: plat.State{Task: s.Task, Attempt: s.Attempt, Done: true, Stopped: true},
+		run:   plat.Run{Ref: s.Ref},
+		state: plat.State{Ref: s.Ref, Done: true, Stopped: true},
 	}
 }
 
