entry, agent: bids and grants can't multiply

Cause: at 5,000 requests a second with run times near zero, entries and agents spent 6 to 8 cores and 0.9 to 1.7 GB on bids and grants, and 3,869 requests were refused as full and 10,991 as late of 25,137: each call that told of waiting requests brought up to ten grants, each unneeded grant a bid, each on its own goroutine; and the learned run time came to exceed the timeout, so that nothing was sent that could have corrected it. Change: one grant message carries a count; between two processes at most one bid or grant is under way and later ones merge (package relay); an unneeded grant is answered once; the learned run time counts for at most a quarter of the timeout. Ticks are frequent only while something waits for time to pass.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -96,6 +96,8 @@
 	waiting int
 	oldest  time.Duration
 	bidAt   time.Duration
+	// granted counts grants that are not emitted yet.
+	granted int
 	// holds lists when the slots kept for the entry are given up.
 	holds []time.Duration
 }
@@ -170,6 +172,9 @@
 // maxAttempts is more than any request has.
 const maxAttempts = 128
 
+// Waiting reports whether calls or grants wait for something that time changes.
+func (c *Core) Waiting() bool { return len(c.waiting) > 0 || c.reserved > 0 }
+
 // Busy returns the number of calls that run or wait.
 func (c *Core) Busy() int { return c.running + len(c.waiting) }
 
--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,116 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"lagoonrack/internal/admit"
+	"lagoonrack/internal/wire"
+)
+
+func newCore() *admit.Core { return &admit.Core{Slots: 2, Queue: 1, Ahead: 1, Incarnation: "1"} }
+
+func call(id string, attempt int) admit.Call {
+	return admit.Call{Call: wire.Call{ID: id, Attempt: attempt, Incarnation: "1", Entry: "e", Budget: time.Second, Queue: true}}
+}
+
+func kill(id string, attempt int) admit.Kill {
+	return admit.Kill{Kill: wire.Kill{ID: id, Attempt: attempt, Incarnation: "1"}}
+}
+
+// expectRefused checks that the only effect refuses for the given reason.
+func expectRefused(t *testing.T, effects []admit.Effect, reason string) {
+	t.Helper()
+	g := NewWithT(t)
+	g.Expect(effects).To(HaveLen(1))
+	r, ok := effects[0].(admit.Reply)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.Result.Refused).To(Equal(reason))
+}
+
+func expectStarted(t *testing.T, effects []admit.Effect, id string) {
+	t.Helper()
+	g := NewWithT(t)
+	g.Expect(effects).NotTo(BeEmpty())
+	s, ok := effects[0].(admit.Start)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(s.ID).To(Equal(id))
+}
+
+func TestQueueIsShort(t *testing.T) {
+	c := newCore()
+	expectStarted(t, c.Step(0, call("a", 1)), "a")
+	expectStarted(t, c.Step(0, call("b", 1)), "b")
+	NewWithT(t).Expect(c.Step(0, call("c", 1))).To(BeEmpty(), "it waits")
+	expectRefused(t, c.Step(0, call("d", 1)), "full")
+}
+
+func TestCallThatMayNotWait(t *testing.T) {
+	c := newCore()
+	c.Step(0, call("a", 1))
+	c.Step(0, call("b", 1))
+	e := call("c", 1)
+	e.Queue = false
+	expectRefused(t, c.Step(0, e), "full")
+}
+
+func TestTombstone(t *testing.T) {
+	t.Run("before the call", func(t *testing.T) {
+		c := newCore()
+		f := c.Step(0, kill("a", 1))[0].(admit.Fate)
+		NewWithT(t).Expect(f.Certain).To(BeTrue())
+		expectRefused(t, c.Step(0, call("a", 1)), "tombstone")
+	})
+	t.Run("of a running call", func(t *testing.T) {
+		c := newCore()
+		c.Step(0, call("a", 1))
+		f := c.Step(0, kill("a", 1))[0].(admit.Fate)
+		NewWithT(t).Expect(f.Certain).To(BeFalse())
+	})
+	t.Run("of an earlier start of the agent", func(t *testing.T) {
+		c := newCore()
+		k := kill("a", 1)
+		k.Incarnation = "0"
+		f := c.Step(0, k)[0].(admit.Fate)
+		NewWithT(t).Expect(f.Certain).To(BeFalse())
+	})
+}
+
+func TestLeavingRefusesAtOnce(t *testing.T) {
+	c := newCore()
+	c.Step(0, call("a", 1))
+	c.Step(0, admit.Leave{})
+	expectRefused(t, c.Step(0, call("b", 1)), "leaving")
+	NewWithT(t).Expect(c.Busy()).To(Equal(1), "what runs goes on")
+}
+
+// TestOneGrantForOneBid holds the number of messages down: one bid for many
+// requests is answered by one message.
+func TestOneGrantForOneBid(t *testing.T) {
+	c := newCore()
+	effects := c.Step(0, admit.Bid{Bid: wire.Bid{Entry: "e", Incarnation: "1", Waiting: 50}})
+	g := NewWithT(t)
+	g.Expect(effects).To(HaveLen(1))
+	g.Expect(effects[0].(admit.Grant).Count).To(Equal(3))
+	again := c.Step(time.Millisecond, admit.Bid{Bid: wire.Bid{Entry: "e", Incarnation: "1", Waiting: 50}})
+	g.Expect(again).To(BeEmpty(), "what was granted is not granted again")
+}
+
+func BenchmarkCall(b *testing.B) {
+	c := &admit.Core{Slots: 8, Queue: 2, Ahead: 2, Incarnation: "1", Keep: time.Millisecond}
+	e := call("a", 1)
+	e.Idempotent = true
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now += 10 * time.Microsecond
+		e.Attempt = n
+		c.Step(now, e)
+		c.Step(now, admit.Done{ID: "a", Attempt: n})
+		if n%500 == 0 {
+			c.Step(now, admit.Tick{})
+		}
+	}
+}
--- a/internal/admit/bids.go
+++ b/internal/admit/bids.go
@@ -22,16 +22,22 @@
 	en.bidAt = c.now
 }
 
-// grants keeps slots for entries whose requests wait, oldest first.
+// grants tells entries whose requests wait, oldest first, that there is room.
 func (c *Core) grants() {
 	for !c.leaving && c.running+len(c.waiting)+c.reserved < c.Slots+c.Ahead {
 		en := c.neediest()
 		if en == nil {
-			return
+			break
 		}
 		en.holds = append(en.holds, c.now+c.Hold)
+		en.granted++
 		c.reserved++
-		c.emit(Grant{Entry: en.name, Slots: c.State(en.name)})
+	}
+	for _, en := range c.order {
+		if en.granted > 0 {
+			c.emit(Grant{Entry: en.name, Count: en.granted, Slots: c.State(en.name)})
+			en.granted = 0
+		}
 	}
 }
 
@@ -51,13 +57,12 @@
 }
 
 // unhold uses one slot that is kept for the entry, if there is one.
-func (c *Core) unhold(en *entry) bool {
+func (c *Core) unhold(en *entry) {
 	if len(en.holds) == 0 {
-		return false
+		return
 	}
 	en.holds = en.holds[1:]
 	c.reserved--
-	return true
 }
 
 // lapse gives up slots that were kept too long.
--- a/internal/admit/event.go
+++ b/internal/admit/event.go
@@ -61,8 +61,10 @@
 	wire.Fate
 }
 
-// Grant tells an entry that a slot is kept for it.
+// Grant tells an entry that there is room for calls of its.
 type Grant struct {
+	// Count is the number of calls.
+	Count int
 	Entry string
 	Slots wire.Slots
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/proc"
+	"lagoonrack/internal/relay"
 	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/setup"
 	"lagoonrack/internal/tally"
@@ -32,8 +33,10 @@
 	// the entries'.
 	peerName  = "Agent"
 	entryName = "Entry"
-	// tickEvery is how often the admit core is told of the time.
+	// tickEvery is how often the admit core is told of the time while it has
+	// calls, and idleEvery how often otherwise.
 	tickEvery = 5 * time.Millisecond
+	idleEvery = 100 * time.Millisecond
 	// defaultBeat is the pace of announcements until settings are known.
 	defaultBeat  = time.Second
 	peerTimeout  = time.Second
@@ -50,6 +53,8 @@
 	tally  tally.Set
 	clock  clock.Clock
 	pool   rpcs.Pool
+	grants relay.Relay[admit.Grant]
+	busy   chan struct{}
 	http   *client.Client
 
 	incarnation string
@@ -108,7 +113,9 @@
 		incarnation: ulid.Make().String(),
 		calls:       map[callKey]*pending{},
 		entries:     map[string]time.Duration{},
+		busy:        make(chan struct{}, 1),
 	}
+	a.grants.Send, a.grants.Merge = a.grant, mergeGrants
 	a.core.Slots = p.Minion.Slots
 	a.core.Incarnation = a.incarnation
 	a.setup = setup.Setup{Site: p.Site, Applied: a.applied, Refused: a.refused}
@@ -133,6 +140,8 @@
 		v, _ := a.setup.Now()
 		return float64(v.Version)
 	}, "lagoon_settings_version")
+	a.tally.Gauge(func() float64 { return float64(a.pool.Traffic.In() + a.peer.Traffic.In()) }, "lagoon_peer_bytes", "way", "in")
+	a.tally.Gauge(func() float64 { return float64(a.pool.Traffic.Out() + a.peer.Traffic.Out()) }, "lagoon_peer_bytes", "way", "out")
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.loops.Go(func() { a.loopAnnounce(a.ctx) })
 	if a.proc.Minion.Service != "" {
@@ -182,18 +191,48 @@
 }
 
 func (a *Agent) loopTicks(ctx context.Context) {
+	idle := time.NewTicker(idleEvery)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.C:
+		case <-a.busy:
+		}
+		a.ticksWhileBusy(ctx)
+	}
+}
+
+// ticksWhileBusy tells the core of the time until it has neither calls nor
+// grants.
+func (a *Agent) ticksWhileBusy(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
+		a.mu.Lock()
+		a.stepLocked(admit.Tick{})
+		busy := a.core.Waiting()
+		a.mu.Unlock()
+		if !busy {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			a.step(admit.Tick{})
 		}
 	}
 }
 
+// wake starts the ticks when the core has something that time changes.
+func (a *Agent) wake() {
+	select {
+	case a.busy <- struct{}{}:
+	default:
+	}
+}
+
 // Stop is a planned stop: the agent tells every entry, refuses new work,
 // finishes what it has and ends. The worker beside it is emptied by its owner
 // as far as tasks may move; the rest goes on under its lease.
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -84,6 +84,9 @@
 	for _, f := range a.core.Step(a.clock.Now(), ev) {
 		a.do(f)
 	}
+	if a.core.Waiting() {
+		a.wake()
+	}
 }
 
 // do carries out an effect without waiting for anything.
@@ -95,7 +98,7 @@
 	case admit.Reply:
 		a.reply(f)
 	case admit.Grant:
-		go a.grant(f)
+		a.grants.Post(f.Entry, f)
 	}
 }
 
@@ -114,14 +117,20 @@
 	}
 }
 
-func (a *Agent) grant(g admit.Grant) {
+func (a *Agent) grant(_ string, g admit.Grant) {
 	ctx, cancel := context.WithTimeout(a.ctx, peerTimeout)
 	defer cancel()
-	msg := wire.Grant{Agent: a.Addr(), Incarnation: a.incarnation, Service: a.proc.Minion.Service, Slots: g.Slots}
+	msg := wire.Grant{Agent: a.Addr(), Incarnation: a.incarnation, Service: a.proc.Minion.Service, Count: g.Count, Slots: g.Slots}
 	// A lost grant lapses by itself.
 	_ = a.pool.Get(g.Entry).Call(ctx, entryName+".Grant", msg, new(wire.Empty))
 }
 
+// mergeGrants adds up grants that wait for an earlier one to be delivered.
+func mergeGrants(old, now admit.Grant) admit.Grant {
+	now.Count += old.Count
+	return now
+}
+
 // graceFactor is how many times its budget a started request may take before
 // its slot is given up. A minion that never answers must not hold a slot for
 // ever.
--- a/internal/agent/loops.go
+++ b/internal/agent/loops.go
@@ -115,8 +115,10 @@
 }
 
 const (
-	// beatGap is the least time between two reports of a worker.
-	beatGap = 50 * time.Millisecond
+	// beatGap is the pace at which a worker with tasks is asked for news, and
+	// idleGap that of a worker without any.
+	beatGap = 100 * time.Millisecond
+	idleGap = 500 * time.Millisecond
 	// beatTimeout bounds the wait for the owner's answer.
 	beatTimeout = 5 * time.Second
 	// ownerPause is the wait before another process is asked for the owner.
@@ -143,7 +145,7 @@
 		case waiting <- struct{}{}:
 		default:
 			if now == last {
-				pause(ctx, beatGap)
+				pause(ctx, gap(rep))
 				continue
 			}
 		}
@@ -159,6 +161,14 @@
 	}
 }
 
+// gap returns the pause before the next report.
+func gap(r plat.Report) time.Duration {
+	if len(r.Tasks) == 0 {
+		return idleGap
+	}
+	return beatGap
+}
+
 // summary tells reports apart that an owner should hear of at once.
 func summary(r plat.Report) string {
 	s := r.Incarnation
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -155,6 +155,7 @@
 		Budget:     a.budget,
 	})
 	e.mu.Unlock()
+	e.wake()
 	return <-p.answer
 }
 
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -53,7 +53,7 @@
 		e.note(f.ID, "kill", "", f.Agent)
 		go e.kill(f)
 	case route.Bid:
-		go e.bid(f)
+		e.bids.Post(f.Agent, f)
 	case route.Answer:
 		e.answered(f)
 	case route.Note:
@@ -120,7 +120,7 @@
 	e.step(route.Fate{ID: k.ID, Attempt: k.Attempt, Fate: *fate})
 }
 
-func (e *Entry) bid(b route.Bid) {
+func (e *Entry) bid(_ string, b route.Bid) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	msg := wire.Bid{Entry: e.PeerAddr(), Incarnation: b.Incarnation, Waiting: b.Waiting, Age: b.Age}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"lagoonrack/internal/owner"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/proc"
+	"lagoonrack/internal/relay"
 	"lagoonrack/internal/roster"
 	"lagoonrack/internal/route"
 	"lagoonrack/internal/rpcs"
@@ -29,8 +30,10 @@
 )
 
 const (
-	// tickEvery is how often the route core is told of the time.
+	// tickEvery is how often the route core is told of the time while requests
+	// are open, and idleEvery how often otherwise.
 	tickEvery = 5 * time.Millisecond
+	idleEvery = 100 * time.Millisecond
 	// bodyLimit bounds every request body; a service's own limit is lower.
 	bodyLimit = 64 << 20
 	// defaultDrain bounds a planned stop, and defaultNotice is how long a
@@ -55,6 +58,8 @@
 	Decided func(cell.Note)
 
 	pool     rpcs.Pool
+	bids     relay.Relay[route.Bid]
+	busy     chan struct{}
 	peer     *rpcs.Server
 	caller   *httpd.Server
 	operator *httpd.Server
@@ -106,7 +111,9 @@
 		calls:  map[string]*pending{},
 		agents: map[string]agentNews{},
 		owners: map[string]*owned{},
+		busy:   make(chan struct{}, 1),
 	}
+	e.bids.Send = e.bid
 	e.core.Seed = uint64(e.clock.Epoch())
 	e.setup = setup.Setup{Table: table, Site: p.Site, Applied: e.applied, Refused: e.refused}
 	return e
@@ -172,6 +179,8 @@
 		defer e.mu.Unlock()
 		return float64(e.core.Open())
 	}, "lagoon_requests_open")
+	e.tally.Gauge(func() float64 { return float64(e.pool.Traffic.In() + e.peer.Traffic.In()) }, "lagoon_peer_bytes", "way", "in")
+	e.tally.Gauge(func() float64 { return float64(e.pool.Traffic.Out() + e.peer.Traffic.Out()) }, "lagoon_peer_bytes", "way", "out")
 }
 
 func (e *Entry) storeFailed(step string, err error) {
@@ -200,19 +209,48 @@
 
 // loopTicks lets time pass for the route core.
 func (e *Entry) loopTicks(ctx context.Context) {
+	idle := time.NewTicker(idleEvery)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.C:
+			e.forgetAgents()
+		case <-e.busy:
+		}
+		e.ticksWhileBusy(ctx)
+	}
+}
+
+// ticksWhileBusy tells the core of the time until no request is open.
+func (e *Entry) ticksWhileBusy(ctx context.Context) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
+		e.mu.Lock()
+		e.stepLocked(route.Tick{})
+		busy := e.core.Busy()
+		e.mu.Unlock()
+		if !busy {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			e.step(route.Tick{})
-			e.forgetAgents()
 		}
 	}
 }
 
+// wake starts the ticks when the first request of a while arrives.
+func (e *Entry) wake() {
+	select {
+	case e.busy <- struct{}{}:
+	default:
+	}
+}
+
 // agentLapse is the silence after which an agent no longer counts as one that
 // the settings have yet to reach.
 const agentLapse = 5 * time.Second
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -58,7 +58,7 @@
 
 // Grant takes an agent's word that a slot is kept for this entry.
 func (p *Peer) Grant(g wire.Grant, _ *wire.Empty) error {
-	p.entry.step(route.Grant{Agent: g.Agent, Incarnation: g.Incarnation, Service: g.Service, Slots: g.Slots})
+	p.entry.step(route.Grant{Agent: g.Agent, Incarnation: g.Incarnation, Service: g.Service, Count: g.Count, Slots: g.Slots})
 	return nil
 }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -45,6 +45,8 @@
 	// Size is the number of bytes in a body.
 	Size int
 	Seed uint64
+	// Direct sends to minions without the system between, for comparison.
+	Direct bool
 	// Check is told what was asked and answered. It may be nil.
 	Check *check.Check
 
@@ -189,6 +191,9 @@
 		outcome: wire.Outcome(resp.Header.Get("Lagoon-Outcome")),
 		reason:  resp.Header.Get("Lagoon-Reason"),
 	}
+	if l.Direct && resp.StatusCode() == 200 {
+		a.outcome = wire.Ran
+	}
 	a.own = strings.TrimSpace(string(resp.Body())) == digest.Of(method, path, body)
 	if l.Check != nil {
 		id := resp.Header.Get("Lagoon-Request")
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -112,6 +112,9 @@
 	return n
 }
 
+// Busy reports whether the core has to be told of the time often.
+func (c *Core) Busy() bool { return len(c.requests) > 0 }
+
 // Waiting returns the number of requests of a service without a slot.
 func (c *Core) Waiting(name string) int {
 	if s := c.services[name]; s != nil {
@@ -251,10 +254,7 @@
 	oldest, any := s.queue.oldest()
 	for _, m := range s.minions {
 		if !any {
-			if m.bid > 0 {
-				m.bid = 0
-				c.emit(Bid{Agent: m.agent, Incarnation: m.incarnation})
-			}
+			c.withdraw(m)
 			continue
 		}
 		if !m.usable(c.now, s.limits.Silent) || m.bid > 0 && c.now-m.bidAt < rebid {
@@ -266,6 +266,14 @@
 	}
 }
 
+// withdraw tells an agent that nothing waits any more, if it believes so.
+func (c *Core) withdraw(m *minion) {
+	if m.bid > 0 {
+		m.bid = 0
+		c.emit(Bid{Agent: m.agent, Incarnation: m.incarnation})
+	}
+}
+
 // move applies an event to an attempt and reports whether its state changed.
 func (c *Core) move(a *attempt, event string) bool {
 	was := a.state
@@ -493,11 +501,10 @@
 	}
 	m.heard = c.now
 	m.report(e.Slots)
-	m.granted++
+	m.granted += max(0, e.Count)
 	c.dispatch(s)
-	if m.granted > 0 {
-		m.granted = 0
-		m.bid = 0
-		c.emit(Bid{Agent: m.agent, Incarnation: m.incarnation})
+	if m.granted > 0 && s.queue.length == 0 {
+		c.withdraw(m)
 	}
+	m.granted = 0
 }
--- a/internal/route/event.go
+++ b/internal/route/event.go
@@ -49,8 +49,10 @@
 // Offer is an agent's announcement of its minion.
 type Offer struct{ wire.Offer }
 
-// Grant is an agent's word that it keeps a slot free for this entry.
+// Grant is an agent's word that it has room for calls of this entry.
 type Grant struct {
+	// Count is the number of calls.
+	Count       int
 	Agent       string
 	Incarnation string
 	Service     string
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -114,9 +114,14 @@
 	return time.Duration(float64(s.queue.length) / s.rate * float64(time.Second))
 }
 
+// needShare bounds the time that a request is expected to take, as a share of
+// the timeout. Run times are learned only from requests that are sent, so an
+// estimate that refused everything would never be corrected.
+const needShare = 0.25
+
 // need is the time that a request is expected to take once it is sent.
 func (s *service) need() time.Duration {
-	return time.Duration(s.tail * float64(time.Second))
+	return time.Duration(min(s.tail*float64(time.Second), needShare*float64(s.limits.Timeout)))
 }
 
 // ejectable reports whether one more minion may be ejected.
--- a/internal/rpcs/client.go
+++ b/internal/rpcs/client.go
@@ -30,8 +30,9 @@
 	// may be nil; experiments set it to stand for a distance.
 	Delay func() time.Duration
 
-	mu   sync.Mutex
-	conn *rpc.Client
+	mu      sync.Mutex
+	conn    *rpc.Client
+	traffic *Traffic
 }
 
 // Call sends args and waits for the reply. The reply must not be read if an
@@ -76,6 +77,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.traffic != nil {
+		conn = counted{conn, c.traffic}
+	}
 	c.conn = rpc.NewClient(conn)
 	return c.conn, nil
 }
--- a/internal/rpcs/pool.go
+++ b/internal/rpcs/pool.go
@@ -10,6 +10,9 @@
 	// Delay returns the one-way delay towards a peer; it may be nil.
 	Delay func(addr string) time.Duration
 
+	// Traffic counts the bytes over all clients.
+	Traffic Traffic
+
 	mu      sync.Mutex
 	clients map[string]*Client
 }
@@ -22,7 +25,7 @@
 	if c != nil {
 		return c
 	}
-	c = &Client{Addr: addr}
+	c = &Client{Addr: addr, traffic: &p.Traffic}
 	if p.Delay != nil {
 		c.Delay = func() time.Duration { return p.Delay(addr) }
 	}
--- a/internal/rpcs/server.go
+++ b/internal/rpcs/server.go
@@ -16,6 +16,8 @@
 	mu   sync.Mutex
 	open map[net.Conn]bool
 	done sync.WaitGroup
+	// Traffic counts the bytes over all connections.
+	Traffic Traffic
 }
 
 // Listen opens an address and serves the receivers under their names.
@@ -61,7 +63,7 @@
 }
 
 func (s *Server) loop(conn net.Conn) {
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeConn(counted{conn, &s.Traffic})
 	s.mu.Lock()
 	delete(s.open, conn)
 	s.mu.Unlock()
--- a/internal/stand/minion/minion.go
+++ b/internal/stand/minion/minion.go
@@ -92,6 +92,7 @@
 		time.Sleep(work)
 	}
 	sum := digest.Of(string(rc.Method()), string(rc.Request.RequestURI()), rc.Request.Body())
+	rc.SetStatusCode(http.StatusOK)
 	rc.Header("Stand-Minion", m.Name)
 	rc.SetBodyString(fmt.Sprintf("%s\n", sum))
 }
--- a/internal/trial/arrive.go
+++ b/internal/trial/arrive.go
@@ -4,8 +4,6 @@
 	"math"
 	"math/rand/v2"
 	"time"
-
-	"lagoonrack/internal/unit"
 )
 
 // arrival is one request to come. All policies get the same ones.
@@ -75,7 +73,7 @@
 
 // delay returns the one-way delay between an entry and a minion.
 func (c Config) delay(entry, minion int) time.Duration {
-	d := unit.Span(c.Far)
+	d := c.Far
 	if entry%c.Zones == minion%c.Zones {
 		d = c.Near
 	}
--- a/internal/trial/chaos_test.go
+++ b/internal/trial/chaos_test.go
@@ -131,9 +131,9 @@
 }
 
 // carry delivers a message late, never, or twice.
-func (c *chaos) carry(lose bool, do func()) {
+func (c *chaos) carry(do func()) {
 	for range 1 + c.rng.IntN(8)/7 {
-		if lose && c.rng.IntN(12) == 0 {
+		if c.rng.IntN(12) == 0 {
 			continue
 		}
 		d := c.upTo(4 * time.Millisecond)
@@ -170,17 +170,17 @@
 			ID: f.ID, Attempt: f.Attempt, Incarnation: f.Incarnation, Entry: fmt.Sprint(e.index),
 			Serial: f.Serial, Queue: f.Queue, Waiting: f.Waiting, Age: f.Age, Budget: f.Budget, Idempotent: e.mine[f.ID],
 		}
-		e.carry(true, func() { a.step(to, admit.Call{Call: msg}) })
+		e.carry(func() { a.step(to, admit.Call{Call: msg}) })
 		e.After(f.Budget+e.upTo(50*time.Millisecond), func() { e.step(life, route.Break{ID: f.ID, Attempt: f.Attempt}) })
 	case route.Kill:
 		a := e.agents[int(f.Agent[0]-'0')]
 		k := wire.Kill{ID: f.ID, Attempt: f.Attempt, Incarnation: f.Incarnation}
-		e.carry(true, func() { a.step(a.life, admit.Kill{Kill: k}) })
+		e.carry(func() { a.step(a.life, admit.Kill{Kill: k}) })
 		e.After(e.upTo(300*time.Millisecond), func() { e.step(life, route.Fate{ID: f.ID, Attempt: f.Attempt, Lost: true}) })
 	case route.Bid:
 		a := e.agents[int(f.Agent[0]-'0')]
 		b := wire.Bid{Entry: fmt.Sprint(e.index), Incarnation: f.Incarnation, Waiting: f.Waiting, Age: f.Age}
-		e.carry(true, func() { a.step(a.life, admit.Bid{Bid: b}) })
+		e.carry(func() { a.step(a.life, admit.Bid{Bid: b}) })
 	case route.Answer:
 		e.answers[f.ID]++
 		e.check.Answered(f.ID, f.Outcome, f.Outcome != wire.Ran || string(f.Result.Body) == f.ID)
@@ -221,7 +221,7 @@
 		a.toAll(route.Fate{ID: f.ID, Attempt: f.Attempt, Fate: f.Fate}, f.ID)
 	case admit.Grant:
 		e := a.entries[int(f.Entry[0]-'0')]
-		a.to(e, route.Grant{Agent: fmt.Sprint(a.index), Incarnation: a.core.Incarnation, Service: service, Slots: f.Slots})
+		a.to(e, route.Grant{Agent: fmt.Sprint(a.index), Incarnation: a.core.Incarnation, Service: service, Count: f.Count, Slots: f.Slots})
 	}
 }
 
@@ -236,7 +236,7 @@
 
 func (a *chaosAgent) to(e *chaosEntry, ev route.Event) {
 	life := e.life
-	a.carry(true, func() { e.step(life, ev) })
+	a.carry(func() { e.step(life, ev) })
 }
 
 func (a *chaosAgent) announce() {
--- a/internal/trial/late.go
+++ b/internal/trial/late.go
@@ -44,8 +44,6 @@
 	world *late
 	index int
 	core  admit.Core
-	// busy counts requests that run at the minion.
-	busy int
 }
 
 // asked is one try of a caller.
@@ -231,7 +229,7 @@
 		}
 	case admit.Grant:
 		e := w.entryAt(f.Entry)
-		a.toEntry(e, route.Grant{Agent: fmt.Sprint(a.index), Incarnation: a.core.Incarnation, Service: service, Slots: f.Slots})
+		a.toEntry(e, route.Grant{Agent: fmt.Sprint(a.index), Incarnation: a.core.Incarnation, Service: service, Count: f.Count, Slots: f.Slots})
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -135,8 +135,10 @@
 	Age time.Duration
 }
 
-// Grant tells an entry that an agent keeps a slot free for it.
+// Grant tells an entry that an agent expects calls from it.
 type Grant struct {
+	// Count is the number of calls.
+	Count       int
 	Agent       string
 	Incarnation string
 	Service     string
