capac: docs/CAPACITY.md, worked out from measured slopes

Three entries watch a cell closely, the others every 10 s; before, each entry read two rows of each cell twice a second. The least time between two pages is a setting.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -65,6 +65,7 @@
 	Run    unit.Span `yaml:"run" doc:"Time a worker may run a task without hearing from the owner."`
 	Beat   unit.Span `yaml:"beat" doc:"Longest time between two reports of an agent."`
 	Silent unit.Span `yaml:"silent" doc:"Age of the last report after which a minion gets nothing new."`
+	Page   unit.Span `yaml:"page" doc:"Least time between two writes of a cell's decisions."`
 	Outage unit.Span `yaml:"outage" doc:"Longest outage of the table during which an owner renews leases."`
 }
 
@@ -124,7 +125,7 @@
 
 // defaults is the lowest layer of every merge.
 const defaults = `
-lease: {owner: 4s, run: 10s, beat: 1s, silent: 2s, outage: 15m}
+lease: {owner: 4s, run: 10s, beat: 1s, silent: 2s, page: 300ms, outage: 15m}
 jobs: {attempts: 3, tasks: 10000, urgent: 8.3s}
 guard: {on: true, spare: 0.1}
 `
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lagoonrack/internal/cell"
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/conf"
@@ -330,6 +332,7 @@
 		Beat:     s.Lease.Beat.Std(),
 		Owner:    s.Lease.Owner.Std(),
 		Outage:   s.Lease.Outage.Std(),
+		Gap:      s.Lease.Page.Std(),
 		Attempts: s.Jobs.Attempts,
 		Tasks:    s.Jobs.Tasks,
 		Teams:    map[string]vect.Size{},
@@ -383,12 +386,30 @@
 		Limits: l,
 		Seed:   e.core.Seed,
 		Watch:  e.Decided,
+		Close:  func() bool { return e.closeTo(name) },
 	}
 	ctx, cancel := context.WithCancel(e.ctx)
 	e.owners[name] = &owned{Owner: o, cancel: cancel}
 	e.loops.Go(func() { o.Run(ctx) })
 }
 
+// closeWatchers is the number of entries of a site that watch a cell closely.
+const closeWatchers = 3
+
+// closeTo reports whether this entry is one of those that rank highest for a
+// cell by the hash of both names, among the entries that are alive.
+func (e *Entry) closeTo(cell string) bool {
+	rank := func(name string) uint64 { return xxhash.Sum64String(cell + "/" + name) }
+	mine := rank(e.proc.Name)
+	higher := 0
+	for _, m := range e.roster.Members() {
+		if m.Site == e.proc.Site && rank(m.Name) > mine {
+			higher++
+		}
+	}
+	return higher < closeWatchers
+}
+
 // owner returns this process's part in a cell.
 func (e *Entry) owner(name string) *owner.Owner {
 	e.ownersMu.Lock()
--- /dev/null
+++ b/internal/loadcmd/slopes.go
@@ -0,0 +1,25 @@
+package loadcmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"lagoonrack/internal/capac"
+)
+
+func slopesCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "slopes",
+		Usage:  "measure what docs/CAPACITY.md is worked out from, as far as one process can",
+		Action: measureSlopes,
+	}
+}
+
+func measureSlopes(_ context.Context, c *cli.Command) error {
+	for _, s := range capac.Measure() {
+		fmt.Fprintf(c.Root().Writer, "  - {name: %s, value: %.4g, unit: %s, range: %q, command: %s}\n", s.Name, s.Value, s.Unit, s.Range, s.Command)
+	}
+	return nil
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -31,8 +31,11 @@
 var ErrNotOwner = errors.New("not the owner")
 
 const (
-	// watchEvery is how often a watcher reads the cell's rows.
-	watchEvery = 500 * time.Millisecond
+	// watchEvery is how often a close watcher reads the cell's rows, and
+	// lookEvery how often any other process does, which is never the one to
+	// take the cell over.
+	watchEvery = time.Second
+	lookEvery  = 10 * time.Second
 	// tickEvery is how often the core is told of the time.
 	tickEvery = 50 * time.Millisecond
 	// callTimeout bounds one operation of the platform.
@@ -54,6 +57,9 @@
 	Limits     cell.Limits
 	// Seed makes placements repeatable.
 	Seed uint64
+	// Close reports whether this process is one of the few that watch the cell
+	// closely and may take it over. If it is nil, it is.
+	Close func() bool
 	// Watch is told of each decision. It may be nil.
 	Watch func(cell.Note)
 
@@ -65,6 +71,8 @@
 	quiet   time.Time
 	version uint64
 	leaving bool
+	// asked is signalled when somebody wants to know the owner.
+	asked chan struct{}
 }
 
 // reign is the time during which this process owns the cell.
@@ -87,12 +95,33 @@
 // first.
 func (o *Owner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if o.vacant(ctx) && !o.isLeaving() {
+		if o.vacant(ctx) && o.close() && !o.isLeaving() {
 			if r := o.takeOver(ctx); r != nil {
 				o.rule(ctx, r)
 			}
 		}
-		sleep(ctx, watchEvery)
+		o.pause(ctx)
+	}
+}
+
+func (o *Owner) close() bool { return o.Close == nil || o.Close() }
+
+// pause waits until the rows are worth another look.
+func (o *Owner) pause(ctx context.Context) {
+	o.mu.Lock()
+	o.asked = make(chan struct{}, 1)
+	asked := o.asked
+	o.mu.Unlock()
+	sleep(ctx, watchEvery)
+	if o.close() {
+		return
+	}
+	t := time.NewTimer(lookEvery - watchEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-asked:
 	}
 }
 
@@ -384,10 +413,14 @@
 }
 
 // Holder returns the address of the cell's owner as last read, or an empty
-// string.
+// string. It also has the rows read again soon.
 func (o *Owner) Holder() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	select {
+	case o.asked <- struct{}{}:
+	default:
+	}
 	return o.known.Addr
 }
 
