--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -19,7 +19,7 @@
 	"lagoonrack/internal/wire"
 )
 
-//go:embed call.yaml
+//go:embed call.chart.yaml
 var callFile []byte
 
 var callChart = chart.Must(callFile)
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -12,8 +12,8 @@
 
 func newCore() *admit.Core { return &admit.Core{Slots: 2, Queue: 1, Ahead: 1, Incarnation: "1"} }
 
-func call(id string, attempt int) admit.Call {
-	return admit.Call{Call: wire.Call{ID: id, Attempt: attempt, Incarnation: "1", Entry: "e", Budget: time.Second, Queue: true}}
+func call(id string) admit.Call {
+	return admit.Call{Call: wire.Call{ID: id, Attempt: 1, Incarnation: "1", Entry: "e", Budget: time.Second, Queue: true}}
 }
 
 func kill(id string, attempt int) admit.Kill {
@@ -41,17 +41,17 @@
 
 func TestQueueIsShort(t *testing.T) {
 	c := newCore()
-	expectStarted(t, c.Step(0, call("a", 1)), "a")
-	expectStarted(t, c.Step(0, call("b", 1)), "b")
-	NewWithT(t).Expect(c.Step(0, call("c", 1))).To(BeEmpty(), "it waits")
-	expectRefused(t, c.Step(0, call("d", 1)), "full")
+	expectStarted(t, c.Step(0, call("a")), "a")
+	expectStarted(t, c.Step(0, call("b")), "b")
+	NewWithT(t).Expect(c.Step(0, call("c"))).To(BeEmpty(), "it waits")
+	expectRefused(t, c.Step(0, call("d")), "full")
 }
 
 func TestCallThatMayNotWait(t *testing.T) {
 	c := newCore()
-	c.Step(0, call("a", 1))
-	c.Step(0, call("b", 1))
-	e := call("c", 1)
+	c.Step(0, call("a"))
+	c.Step(0, call("b"))
+	e := call("c")
 	e.Queue = false
 	expectRefused(t, c.Step(0, e), "full")
 }
@@ -61,11 +61,11 @@
 		c := newCore()
 		f := c.Step(0, kill("a", 1))[0].(admit.Fate)
 		NewWithT(t).Expect(f.Certain).To(BeTrue())
-		expectRefused(t, c.Step(0, call("a", 1)), "tombstone")
+		expectRefused(t, c.Step(0, call("a")), "tombstone")
 	})
 	t.Run("of a running call", func(t *testing.T) {
 		c := newCore()
-		c.Step(0, call("a", 1))
+		c.Step(0, call("a"))
 		f := c.Step(0, kill("a", 1))[0].(admit.Fate)
 		NewWithT(t).Expect(f.Certain).To(BeFalse())
 	})
@@ -80,9 +80,9 @@
 
 func TestLeavingRefusesAtOnce(t *testing.T) {
 	c := newCore()
-	c.Step(0, call("a", 1))
+	c.Step(0, call("a"))
 	c.Step(0, admit.Leave{})
-	expectRefused(t, c.Step(0, call("b", 1)), "leaving")
+	expectRefused(t, c.Step(0, call("b")), "leaving")
 	NewWithT(t).Expect(c.Busy()).To(Equal(1), "what runs goes on")
 }
 
@@ -100,7 +100,7 @@
 
 func BenchmarkCall(b *testing.B) {
 	c := &admit.Core{Slots: 8, Queue: 2, Ahead: 2, Incarnation: "1", Keep: time.Millisecond}
-	e := call("a", 1)
+	e := call("a")
 	e.Idempotent = true
 	now := time.Duration(0)
 	b.ReportAllocs()
--- a/internal/chart/chart_test.go
+++ b/internal/chart/chart_test.go
@@ -13,7 +13,7 @@
 
 // files lists every chart of the project.
 func files(t *testing.T) []string {
-	all, err := filepath.Glob("../*/*.yaml")
+	all, err := filepath.Glob("../*/*.chart.yaml")
 	if err != nil || len(all) == 0 {
 		t.Fatalf("no charts found: %v", err)
 	}
@@ -66,7 +66,7 @@
 }
 
 func BenchmarkNext(b *testing.B) {
-	data, err := os.ReadFile("../route/attempt.yaml")
+	data, err := os.ReadFile("../route/attempt.chart.yaml")
 	if err != nil {
 		b.Fatal(err)
 	}
--- /dev/null
+++ b/internal/conf/doc_test.go
@@ -0,0 +1,61 @@
+package conf_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"lagoonrack/internal/conf"
+	"lagoonrack/internal/jobs"
+	"lagoonrack/internal/proc"
+	"lagoonrack/internal/tree"
+)
+
+// reference is the page that is written from the code's own types.
+const reference = "../../docs/settings.md"
+
+func page() string {
+	var b bytes.Buffer
+	b.WriteString("# Settings\n\nWritten from the code's types by `go test ./internal/conf` with `UPDATE=1`.\n")
+	for _, part := range []struct {
+		title string
+		v     any
+	}{
+		{"Base file and overlays (`lagoonctl apply`)", conf.Settings{}},
+		{"Settings file of a process (`--settings`)", proc.Settings{}},
+		{"Job file (`lagoonctl submit`)", jobs.File{}},
+	} {
+		fmt.Fprintf(&b, "\n## %s\n\n| key | meaning |\n|---|---|\n", part.title)
+		keys(&b, "", reflect.TypeOf(part.v))
+	}
+	return b.String()
+}
+
+func keys(b *bytes.Buffer, path string, t reflect.Type) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := path + tree.Key(f)
+		fmt.Fprintf(b, "| `%s` | %s |\n", name, f.Tag.Get("doc"))
+		switch {
+		case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct:
+			keys(b, name+"[].", f.Type.Elem())
+		case f.Type.Kind() == reflect.Struct:
+			keys(b, name+".", f.Type)
+		}
+	}
+}
+
+func TestReference(t *testing.T) {
+	g := NewWithT(t)
+	if os.Getenv("UPDATE") != "" {
+		g.Expect(os.WriteFile(reference, []byte(page()), 0o600)).To(Succeed())
+	}
+	data, err := os.ReadFile(reference)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(Equal(page()))
+	g.Expect(page()).NotTo(ContainSubstring("|  |"), "every key is explained")
+}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -30,9 +31,15 @@
 // idle bounds how long a connection without requests is kept.
 const idle = 2 * time.Minute
 
+var quiet sync.Once
+
+// Quiet silences the library's own log, once for the process: its level must
+// not change while a server runs.
+func Quiet() { quiet.Do(func() { hlog.SetLevel(hlog.LevelFatal) }) }
+
 // Listen opens an address. Bodies over limit bytes are refused.
 func Listen(addr string, limit int) (*Server, error) {
-	hlog.SetLevel(hlog.LevelFatal)
+	Quiet()
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fault.At("listen", addr).Wrap(err)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -22,7 +22,7 @@
 	"lagoonrack/internal/wire"
 )
 
-//go:embed task.yaml
+//go:embed task.chart.yaml
 var taskFile []byte
 
 var taskChart = chart.Must(taskFile)
--- a/internal/route/core.go
+++ b/internal/route/core.go
@@ -21,7 +21,7 @@
 	"lagoonrack/internal/wire"
 )
 
-//go:embed attempt.yaml
+//go:embed attempt.chart.yaml
 var attemptFile []byte
 
 var attemptChart = chart.Must(attemptFile)
--- a/internal/stand/minion/minion.go
+++ b/internal/stand/minion/minion.go
@@ -12,9 +12,9 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 
 	"lagoonrack/internal/digest"
+	"lagoonrack/internal/httpd"
 	"lagoonrack/internal/stand/flaw"
 )
 
@@ -43,7 +43,7 @@
 
 // Start serves the address.
 func (m *Minion) Start() {
-	hlog.SetLevel(hlog.LevelFatal)
+	httpd.Quiet()
 	m.starts = map[string]int{}
 	m.server = server.New(
 		server.WithHostPorts(m.Addr),
