--- a/cmd/lagoondev/main.go
+++ b/cmd/lagoondev/main.go
@@ -17,13 +17,17 @@
 	"lagoonrack/internal/logs"
 )
 
-func main() {
+func main() { os.Exit(start(os.Args)) }
+
+// start runs the command line and returns the exit code.
+func start(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := command().Run(ctx, args); err != nil {
 		fmt.Fprintln(os.Stderr, "lagoondev:", err)
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 func command() *cli.Command {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -21,6 +22,7 @@
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/proc"
+	"lagoonrack/internal/pulse"
 	"lagoonrack/internal/relay"
 	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/setup"
@@ -33,10 +35,8 @@
 	// the entries'.
 	peerName  = "Agent"
 	entryName = "Entry"
-	// tickEvery is how often the admit core is told of the time while it has
-	// calls, and idleEvery how often otherwise.
-	tickEvery = 5 * time.Millisecond
-	idleEvery = 100 * time.Millisecond
+	// openEvery is how often a planned stop looks for calls still open.
+	openEvery = 5 * time.Millisecond
 	// defaultBeat is the pace of announcements until settings are known.
 	defaultBeat  = time.Second
 	peerTimeout  = time.Second
@@ -54,7 +54,7 @@
 	clock  clock.Clock
 	pool   rpcs.Pool
 	grants relay.Relay[admit.Grant]
-	busy   chan struct{}
+	pulse  *pulse.Pulse
 	http   *client.Client
 
 	incarnation string
@@ -113,8 +113,8 @@
 		incarnation: ulid.Make().String(),
 		calls:       map[callKey]*pending{},
 		entries:     map[string]time.Duration{},
-		busy:        make(chan struct{}, 1),
 	}
+	a.pulse = pulse.New(a.tick)
 	a.grants.Send, a.grants.Merge = a.grant, mergeGrants
 	a.core.Slots = p.Minion.Slots
 	a.core.Incarnation = a.incarnation
@@ -145,7 +145,7 @@
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.loops.Go(func() { a.loopAnnounce(a.ctx) })
 	if a.proc.Minion.Service != "" {
-		a.loops.Go(func() { a.loopTicks(a.ctx) })
+		a.loops.Go(func() { a.pulse.Run(a.ctx) })
 	}
 	if a.proc.Worker.Name != "" {
 		a.loops.Go(func() { a.loopWorker(a.ctx) })
@@ -190,47 +190,12 @@
 	return defaultBeat
 }
 
-func (a *Agent) loopTicks(ctx context.Context) {
-	idle := time.NewTicker(idleEvery)
-	defer idle.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-idle.C:
-		case <-a.busy:
-		}
-		a.ticksWhileBusy(ctx)
-	}
-}
-
-// ticksWhileBusy tells the core of the time until it has neither calls nor
-// grants.
-func (a *Agent) ticksWhileBusy(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		a.mu.Lock()
-		a.stepLocked(admit.Tick{})
-		busy := a.core.Waiting()
-		a.mu.Unlock()
-		if !busy {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-// wake starts the ticks when the core has something that time changes.
-func (a *Agent) wake() {
-	select {
-	case a.busy <- struct{}{}:
-	default:
-	}
+// tick lets time pass for the admit core, and reports whether it waits for more.
+func (a *Agent) tick() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stepLocked(admit.Tick{})
+	return a.core.Waiting()
 }
 
 // Stop is a planned stop: the agent tells every entry, refuses new work,
@@ -242,7 +207,7 @@
 	}
 	a.log.Info(logs.Stopping, nil)
 	a.step(admit.Leave{})
-	ctx, cancel := context.WithTimeout(context.Background(), or(a.proc.Drain.Std(), defaultDrain))
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(a.proc.Drain.Std(), defaultDrain))
 	defer cancel()
 	a.announceAll(ctx)
 	a.waitIdle(ctx)
@@ -266,7 +231,7 @@
 		if n == 0 {
 			break
 		}
-		time.Sleep(tickEvery)
+		time.Sleep(openEvery)
 	}
 	time.Sleep(lastReplies)
 }
@@ -279,12 +244,4 @@
 	_ = a.operator.Close()
 }
 
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 func (a *Agent) String() string { return fmt.Sprintf("agent %s", a.proc.Name) }
--- a/internal/cell/limits.go
+++ b/internal/cell/limits.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"lagoonrack/internal/vect"
@@ -52,25 +53,17 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	l.Run = or(l.Run, defaultRun)
-	l.Beat = or(l.Beat, defaultBeat)
-	l.Owner = or(l.Owner, defaultOwner)
-	l.Outage = or(l.Outage, defaultOutage)
-	l.Gap = or(l.Gap, defaultGap)
-	l.Attempts = or(l.Attempts, defaultAttempts)
-	l.Tasks = or(l.Tasks, defaultTasks)
-	l.Snap = or(l.Snap, defaultSnap)
+	l.Run = cmp.Or(l.Run, defaultRun)
+	l.Beat = cmp.Or(l.Beat, defaultBeat)
+	l.Owner = cmp.Or(l.Owner, defaultOwner)
+	l.Outage = cmp.Or(l.Outage, defaultOutage)
+	l.Gap = cmp.Or(l.Gap, defaultGap)
+	l.Attempts = cmp.Or(l.Attempts, defaultAttempts)
+	l.Tasks = cmp.Or(l.Tasks, defaultTasks)
+	l.Snap = cmp.Or(l.Snap, defaultSnap)
 	return l
 }
 
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 // drift bounds how much slower than the owner's a worker's clock may run.
 const drift = 0.02
 
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -155,7 +155,7 @@
 		Budget:     a.budget,
 	})
 	e.mu.Unlock()
-	e.wake()
+	e.pulse.Wake()
 	return <-p.answer
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"lagoonrack/internal/owner"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/proc"
+	"lagoonrack/internal/pulse"
 	"lagoonrack/internal/relay"
 	"lagoonrack/internal/roster"
 	"lagoonrack/internal/route"
@@ -32,10 +34,8 @@
 )
 
 const (
-	// tickEvery is how often the route core is told of the time while requests
-	// are open, and idleEvery how often otherwise.
-	tickEvery = 5 * time.Millisecond
-	idleEvery = 100 * time.Millisecond
+	// openEvery is how often a planned stop looks for requests still open.
+	openEvery = 5 * time.Millisecond
 	// bodyLimit bounds every request body; a service's own limit is lower.
 	bodyLimit = 64 << 20
 	// defaultDrain bounds a planned stop, and defaultNotice is how long a
@@ -61,7 +61,7 @@
 
 	pool     rpcs.Pool
 	bids     relay.Relay[route.Bid]
-	busy     chan struct{}
+	pulse    *pulse.Pulse
 	peer     *rpcs.Server
 	caller   *httpd.Server
 	operator *httpd.Server
@@ -113,9 +113,9 @@
 		calls:  map[string]*pending{},
 		agents: map[string]agentNews{},
 		owners: map[string]*owned{},
-		busy:   make(chan struct{}, 1),
 	}
 	e.bids.Send = e.bid
+	e.pulse = pulse.New(e.tick)
 	e.core.Seed = uint64(e.clock.Epoch())
 	e.setup = setup.Setup{Table: table, Site: p.Site, Applied: e.applied, Refused: e.refused}
 	return e
@@ -151,7 +151,7 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.loops.Go(func() { e.setup.Run(e.ctx, e.storeFailed) })
 	e.loops.Go(func() { e.roster.Run(e.ctx, e.describe) })
-	e.loops.Go(func() { e.loopTicks(e.ctx) })
+	e.loops.Go(func() { e.pulse.Run(e.ctx) })
 	e.loops.Go(func() { e.loopPeers(e.ctx) })
 	e.caller.Start()
 	e.operator.Start()
@@ -209,57 +209,22 @@
 	return m
 }
 
-// loopTicks lets time pass for the route core.
-func (e *Entry) loopTicks(ctx context.Context) {
-	idle := time.NewTicker(idleEvery)
-	defer idle.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-idle.C:
-			e.forgetAgents()
-		case <-e.busy:
-		}
-		e.ticksWhileBusy(ctx)
-	}
-}
-
-// ticksWhileBusy tells the core of the time until no request is open.
-func (e *Entry) ticksWhileBusy(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
-	defer t.Stop()
-	for {
-		e.mu.Lock()
-		e.stepLocked(route.Tick{})
-		busy := e.core.Busy()
-		e.mu.Unlock()
-		if !busy {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-// wake starts the ticks when the first request of a while arrives.
-func (e *Entry) wake() {
-	select {
-	case e.busy <- struct{}{}:
-	default:
-	}
+// tick lets time pass for the route core, and reports whether requests are
+// open.
+func (e *Entry) tick() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stepLocked(route.Tick{})
+	e.forgetAgents()
+	return e.core.Busy()
 }
 
 // agentLapse is the silence after which an agent no longer counts as one that
 // the settings have yet to reach.
 const agentLapse = 5 * time.Second
 
+// forgetAgents must be called with the mutex held.
 func (e *Entry) forgetAgents() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	now := e.clock.Now()
 	for name, n := range e.agents {
 		if now-n.at > agentLapse {
@@ -428,8 +393,8 @@
 	}
 	e.ready.Store(false)
 	e.log.Info(logs.Stopping, nil)
-	time.Sleep(or(e.proc.Notice.Std(), defaultNotice))
-	ctx, cancel := context.WithTimeout(context.Background(), or(e.proc.Drain.Std(), defaultDrain))
+	time.Sleep(cmp.Or(e.proc.Notice.Std(), defaultNotice))
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(e.proc.Drain.Std(), defaultDrain))
 	defer cancel()
 	e.handOver(ctx)
 	e.step(route.Leave{})
@@ -466,7 +431,7 @@
 		if n == 0 {
 			return
 		}
-		time.Sleep(tickEvery)
+		time.Sleep(openEvery)
 	}
 }
 
@@ -478,11 +443,3 @@
 	_ = e.caller.Close()
 	_ = e.operator.Close()
 }
-
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -44,7 +45,7 @@
 		Digest: digest.Of(a.call.Method, a.call.Path, a.call.Body),
 		Entry:  e.PeerAddr(),
 	}}
-	c, cancel := context.WithTimeout(ctx, or(a.budget, a.service.Timeout.Std()))
+	c, cancel := context.WithTimeout(ctx, cmp.Or(a.budget, a.service.Timeout.Std()))
 	defer cancel()
 	k.serve(c, rc)
 }
--- a/internal/route/limits.go
+++ b/internal/route/limits.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Limits are a service's settings as far as routing needs them. A zero field
 // means its default.
@@ -40,20 +43,12 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	l.Timeout = or(l.Timeout, defaultTimeout)
-	l.Queue = or(l.Queue, defaultQueue)
-	l.Retries = or(l.Retries, defaultRetries)
-	l.Rate = or(l.Rate, defaultRate)
-	l.Silent = or(l.Silent, defaultSilent)
-	l.Eject = or(l.Eject, defaultEject)
-	l.Share = or(l.Share, defaultShare)
+	l.Timeout = cmp.Or(l.Timeout, defaultTimeout)
+	l.Queue = cmp.Or(l.Queue, defaultQueue)
+	l.Retries = cmp.Or(l.Retries, defaultRetries)
+	l.Rate = cmp.Or(l.Rate, defaultRate)
+	l.Silent = cmp.Or(l.Silent, defaultSilent)
+	l.Eject = cmp.Or(l.Eject, defaultEject)
+	l.Share = cmp.Or(l.Share, defaultShare)
 	return l
 }
-
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
