--- a/internal/loadcmd/exp.go
+++ b/internal/loadcmd/exp.go
@@ -14,7 +14,10 @@
 		Name:      "exp",
 		Usage:     "run a routing experiment in virtual time",
 		ArgsUsage: "FILE",
-		Action:    exp,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "plot", Usage: "draw the share answered in time into `FILE`, whose suffix is svg or png"},
+		},
+		Action: exp,
 	}
 }
 
@@ -31,5 +34,8 @@
 		return err
 	}
 	trial.Print(c.Root().Writer, cfg, all)
+	if file := c.String("plot"); file != "" {
+		return trial.Plot(file, cfg, all)
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/trial/plot.go
@@ -0,0 +1,50 @@
+package trial
+
+import (
+	"fmt"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// Plot draws, for the first load, seed and number of entries, what share of the
+// requests of each second was answered in time, a line for each policy. The
+// file's suffix selects the format.
+func Plot(file string, c Config, all []Outcome) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: answers in time, load %.2f, %d entries, seed %d", c.Name, c.Loads[0], c.Entries[0], c.Seeds[0])
+	p.X.Label.Text = "second of arrival"
+	p.Y.Label.Text = "share answered in time"
+	p.Y.Min, p.Y.Max = 0, 1
+	var lines []any
+	for _, o := range all {
+		if o.Load != c.Loads[0] || o.Seed != c.Seeds[0] || o.Entries != 1 && o.Entries != c.Entries[0] {
+			continue
+		}
+		lines = append(lines, o.Policy, goodness(c, o))
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+func goodness(c Config, o Outcome) plotter.XYs {
+	var out plotter.XYs
+	for i, s := range o.Seconds {
+		if time.Duration(i)*time.Second >= c.length() || s.Sent == 0 {
+			break
+		}
+		out = append(out, plotter.XY{X: float64(i), Y: share(s.Good, s.Sent)})
+	}
+	return out
+}
