--- a/internal/loadcmd/root.go
+++ b/internal/loadcmd/root.go
@@ -30,6 +30,6 @@
 		Name:     "lagoonload",
 		Usage:    "drive load and run experiments",
 		Version:  build.Version(),
-		Commands: []*cli.Command{runCommand(), expCommand(), watchCommand(), slopesCommand(), agentsCommand(), capacityCommand(), jobsCommand(), faultCommand()},
+		Commands: []*cli.Command{runCommand(), expCommand(), watchCommand(), slopesCommand(), agentsCommand(), capacityCommand(), jobsCommand(), faultCommand(), callCommand()},
 	}
 }
