tree: a key without a value is an error

Cause: FuzzLoad found that 'accel:' without a value, in an item that the base does not have, was accepted as 0 and printed as something that is refused. Change: a null that removes nothing is an error with file, line, column and path. Conclusion: what is accepted prints as what is accepted, as far as tried.

--- a/internal/tree/decode.go
+++ b/internal/tree/decode.go
@@ -45,6 +45,10 @@
 		d.errorf(n, path, "a single value is wanted")
 		return
 	}
+	if isNull(n) {
+		d.errorf(n, path, "there is no value, and nothing below it to remove")
+		return
+	}
 	err := n.Decode(v.Addr().Interface())
 	var typeErr *yaml.TypeError
 	switch {
