scene: ports that no outgoing connection can take

Cause: in 1 of 9 runs the scenarios failed after 30.3 s, which only the first wait of a script, for an entry to start, can reach. The log of that run was not kept, so the cause is inferred: ports came from the range of outgoing connections and were free only until the entry opened them. Change: each script gets ports of its own from 20000 up. Conclusion: likely mended; if it returns, keep the log of the script.

--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,16 +44,29 @@
 	})
 }
 
+// nextPort is the last port that was given out. The range lies below the one
+// from which the system takes ports for outgoing connections and for port 0, so
+// that no connection of another script takes a port before its process does.
+var nextPort atomic.Int32
+
+const firstPort = 20_000
+
+// freePort returns a port that no script was given before.
+func freePort() string {
+	for {
+		port := strconv.Itoa(firstPort + int(nextPort.Add(1)))
+		l, err := net.Listen("tcp", "127.0.0.1:"+port)
+		if err == nil {
+			_ = l.Close()
+			return port
+		}
+	}
+}
+
 // setup names free ports P0 and up, and copies the example settings.
 func setup(e *testscript.Env) error {
 	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		defer func() { _ = l.Close() }()
-		_, port, _ := net.SplitHostPort(l.Addr().String())
-		e.Setenv(portName(i), port)
+		e.Setenv(portName(i), freePort())
 	}
 	files, err := filepath.Glob("../../examples/*.yaml")
 	if err != nil {
