tree: one collector of positioned errors; entry: forget agents once a second

Cause: a second reading found the same collector of errors at tree positions five times (conf, proc, jobs, trial, batch), and an entry that went over all its agents under its lock every 5 ms while requests were open. Change: tree.Check serves all five; agents that fell silent are forgotten where they are counted, for the entry's row, once a second. Messages are as they were. Conclusion: what the row says is the same, and the request path does less.

--- a/internal/batch/config.go
+++ b/internal/batch/config.go
@@ -4,7 +4,6 @@
 package batch
 
 import (
-	"errors"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -64,19 +63,14 @@
 	if err := t.Decode(&c); err != nil {
 		return c, err
 	}
-	var errs []error
-	want := func(ok bool, path, text string) {
-		if !ok {
-			errs = append(errs, t.Errorf(path, "%s", text))
-		}
-	}
-	want(c.Workers > 0, "workers", "at least one worker is needed")
-	want(c.For > 0 || c.Backlog > 0, "for", "for or backlog must be above 0")
-	want(len(c.Loads) > 0, "loads", "at least one load is needed")
-	want(len(c.Seeds) > 0, "seeds", "at least one seed is needed")
-	want(len(c.Kinds) > 0, "kinds", "at least one kind is needed")
-	want(c.Least > 0 && c.Most >= c.Least, "least", "least must be above 0 and at most most")
-	return c, errors.Join(errs...)
+	check := tree.Check{Tree: t}
+	check.Want(c.Workers > 0, "workers", "at least one worker is needed")
+	check.Want(c.For > 0 || c.Backlog > 0, "for", "for or backlog must be above 0")
+	check.Want(len(c.Loads) > 0, "loads", "at least one load is needed")
+	check.Want(len(c.Seeds) > 0, "seeds", "at least one seed is needed")
+	check.Want(len(c.Kinds) > 0, "kinds", "at least one kind is needed")
+	check.Want(c.Least > 0 && c.Most >= c.Least, "least", "least must be above 0 and at most most")
+	return c, check.Err()
 }
 
 func (c Config) size() vect.Size {
--- a/internal/conf/check.go
+++ b/internal/conf/check.go
@@ -1,7 +1,6 @@
 package conf
 
 import (
-	"errors"
 	"fmt"
 	"regexp"
 
@@ -10,16 +9,7 @@
 )
 
 // checker collects the errors of one merged tree.
-type checker struct {
-	tree *tree.Tree
-	errs []error
-}
-
-func (c *checker) want(ok bool, path, format string, args ...any) {
-	if !ok {
-		c.errs = append(c.errs, c.tree.Errorf(path, format, args...))
-	}
-}
+type checker struct{ tree.Check }
 
 var nameForm = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
 
@@ -27,28 +17,28 @@
 const maxEvery = 1_000_000
 
 func check(s Settings, t *tree.Tree) error {
-	c := &checker{tree: t}
-	c.want(nameForm.MatchString(s.Site), "site", "%q is not a name of lower-case letters, digits and hyphens", s.Site)
-	c.want(len(s.Zones) > 0, "zones", "at least one availability zone is needed")
+	c := &checker{tree.Check{Tree: t}}
+	c.Want(nameForm.MatchString(s.Site), "site", "%q is not a name of lower-case letters, digits and hyphens", s.Site)
+	c.Want(len(s.Zones) > 0, "zones", "at least one availability zone is needed")
 	c.lease(s.Lease)
-	c.want(s.Jobs.Attempts >= 1 && s.Jobs.Attempts <= 100, "jobs.attempts", "%d is not between 1 and 100", s.Jobs.Attempts)
-	c.want(s.Jobs.Tasks >= 1 && s.Jobs.Tasks <= maxEvery, "jobs.tasks", "%d is not between 1 and %d", s.Jobs.Tasks, maxEvery)
-	c.want(s.Jobs.Urgent > 0, "jobs.urgent", "%s is not above 0", s.Jobs.Urgent)
-	c.want(s.Guard.Spare >= 0 && s.Guard.Spare < 1, "guard.spare", "%g is not a share from 0 to below 1", s.Guard.Spare)
+	c.Want(s.Jobs.Attempts >= 1 && s.Jobs.Attempts <= 100, "jobs.attempts", "%d is not between 1 and 100", s.Jobs.Attempts)
+	c.Want(s.Jobs.Tasks >= 1 && s.Jobs.Tasks <= maxEvery, "jobs.tasks", "%d is not between 1 and %d", s.Jobs.Tasks, maxEvery)
+	c.Want(s.Jobs.Urgent > 0, "jobs.urgent", "%s is not above 0", s.Jobs.Urgent)
+	c.Want(s.Guard.Spare >= 0 && s.Guard.Spare < 1, "guard.spare", "%g is not a share from 0 to below 1", s.Guard.Spare)
 	c.teams(s)
 	c.services(s)
 	c.cells(s)
 	c.nodes(s)
-	return errors.Join(c.errs...)
+	return c.Err()
 }
 
 func (c *checker) lease(l Lease) {
-	c.want(l.Beat > 0, "lease.beat", "%s is not above 0", l.Beat)
-	c.want(l.Silent >= 2*l.Beat, "lease.silent", "%s is less than two beats of %s", l.Silent, l.Beat)
-	c.want(l.Run >= 3*l.Beat, "lease.run", "%s is less than three beats of %s", l.Run, l.Beat)
-	c.want(l.Owner >= 2*unit.Span(1e9), "lease.owner", "%s is less than 2s", l.Owner)
-	c.want(l.Page > 0 && l.Page <= l.Owner, "lease.page", "%s is not above 0 and at most lease.owner, %s", l.Page, l.Owner)
-	c.want(l.Outage >= l.Owner, "lease.outage", "%s is less than lease.owner, %s", l.Outage, l.Owner)
+	c.Want(l.Beat > 0, "lease.beat", "%s is not above 0", l.Beat)
+	c.Want(l.Silent >= 2*l.Beat, "lease.silent", "%s is less than two beats of %s", l.Silent, l.Beat)
+	c.Want(l.Run >= 3*l.Beat, "lease.run", "%s is less than three beats of %s", l.Run, l.Beat)
+	c.Want(l.Owner >= 2*unit.Span(1e9), "lease.owner", "%s is less than 2s", l.Owner)
+	c.Want(l.Page > 0 && l.Page <= l.Owner, "lease.page", "%s is not above 0 and at most lease.owner, %s", l.Page, l.Owner)
+	c.Want(l.Outage >= l.Owner, "lease.outage", "%s is less than lease.owner, %s", l.Outage, l.Owner)
 }
 
 // names checks that a list's names are well formed and unique.
@@ -56,8 +46,8 @@
 	seen := map[string]bool{}
 	for _, n := range names {
 		path := fmt.Sprintf("%s[%s]", list, n)
-		c.want(nameForm.MatchString(n), path, "%q is not a name of lower-case letters, digits and hyphens", n)
-		c.want(!seen[n], path, "the name is given twice")
+		c.Want(nameForm.MatchString(n), path, "%q is not a name of lower-case letters, digits and hyphens", n)
+		c.Want(!seen[n], path, "the name is given twice")
 		seen[n] = true
 	}
 }
@@ -74,8 +64,8 @@
 	c.names("teams", namesOf(s.Teams, func(t Team) string { return t.Name }))
 	for _, t := range s.Teams {
 		p := "teams[" + t.Name + "]"
-		c.want(t.Share >= 1 && t.Share <= 1000, p+".share", "%d is not between 1 and 1000", t.Share)
-		c.want(!t.Quota().Negative(), p, "a quota is below 0")
+		c.Want(t.Share >= 1 && t.Share <= 1000, p+".share", "%d is not between 1 and 1000", t.Share)
+		c.Want(!t.Quota().Negative(), p, "a quota is below 0")
 	}
 }
 
@@ -87,25 +77,25 @@
 	c.names("services", namesOf(s.Services, func(v Service) string { return v.Name }))
 	for _, v := range s.Services {
 		p := "services[" + v.Name + "]"
-		c.want(teams[v.Team], p+".team", "there is no team %q", v.Team)
-		c.want(v.Timeout >= minTimeout, p+".timeout", "%s is less than %s", v.Timeout, minTimeout)
-		c.want(v.Objective > 0 && v.Objective <= v.Timeout, p+".objective", "%s is not above 0 and at most the timeout, %s", v.Objective, v.Timeout)
-		c.want(v.Body > 0 && v.Body <= 64<<20, p+".body", "%s is not above 0 and at most 64MiB", v.Body)
-		c.want(v.Queue >= 1 && v.Queue <= maxEvery, p+".queue", "%d is not between 1 and %d", v.Queue, maxEvery)
-		c.want(v.Slots >= 1 && v.Slots <= 10000, p+".slots", "%d is not between 1 and 10000", v.Slots)
-		c.want(v.Minions >= 0 && v.Minions <= maxEvery, p+".minions", "%d is not between 0 and %d", v.Minions, maxEvery)
-		c.want(v.Spare >= 0 && v.Spare <= v.Slots, p+".spare", "%d is not between 0 and the slots, %d", v.Spare, v.Slots)
-		c.want(v.Push >= 0 && v.Push <= v.Spare, p+".push", "%d is not between 0 and spare, %d", v.Push, v.Spare)
-		c.want(v.Retries >= 0 && v.Retries <= 100, p+".retries", "%d is not between 0 and 100", v.Retries)
-		c.want(v.Rate >= 0 && v.Rate <= 1, p+".rate", "%g is not a share from 0 to 1", v.Rate)
-		c.want(v.Eject >= 1, p+".eject", "%d is less than 1", v.Eject)
-		c.want(!v.Drop, p+".drop", "there is nothing to remove")
+		c.Want(teams[v.Team], p+".team", "there is no team %q", v.Team)
+		c.Want(v.Timeout >= minTimeout, p+".timeout", "%s is less than %s", v.Timeout, minTimeout)
+		c.Want(v.Objective > 0 && v.Objective <= v.Timeout, p+".objective", "%s is not above 0 and at most the timeout, %s", v.Objective, v.Timeout)
+		c.Want(v.Body > 0 && v.Body <= 64<<20, p+".body", "%s is not above 0 and at most 64MiB", v.Body)
+		c.Want(v.Queue >= 1 && v.Queue <= maxEvery, p+".queue", "%d is not between 1 and %d", v.Queue, maxEvery)
+		c.Want(v.Slots >= 1 && v.Slots <= 10000, p+".slots", "%d is not between 1 and 10000", v.Slots)
+		c.Want(v.Minions >= 0 && v.Minions <= maxEvery, p+".minions", "%d is not between 0 and %d", v.Minions, maxEvery)
+		c.Want(v.Spare >= 0 && v.Spare <= v.Slots, p+".spare", "%d is not between 0 and the slots, %d", v.Spare, v.Slots)
+		c.Want(v.Push >= 0 && v.Push <= v.Spare, p+".push", "%d is not between 0 and spare, %d", v.Push, v.Spare)
+		c.Want(v.Retries >= 0 && v.Retries <= 100, p+".retries", "%d is not between 0 and 100", v.Retries)
+		c.Want(v.Rate >= 0 && v.Rate <= 1, p+".rate", "%g is not a share from 0 to 1", v.Rate)
+		c.Want(v.Eject >= 1, p+".eject", "%d is less than 1", v.Eject)
+		c.Want(!v.Drop, p+".drop", "there is nothing to remove")
 	}
 }
 
 func (c *checker) cells(s Settings) {
 	c.names("cells", namesOf(s.Cells, func(v Cell) string { return v.Name }))
-	c.want(len(s.Cells) > 0, "cells", "at least one cell is needed")
+	c.Want(len(s.Cells) > 0, "cells", "at least one cell is needed")
 }
 
 func (c *checker) nodes(s Settings) {
@@ -115,17 +105,17 @@
 	var accel int64
 	for _, n := range s.Nodes {
 		p := "nodes[" + n.Name + "]"
-		c.want(n.Count >= 0 && n.Count <= maxEvery, p+".count", "%d is not between 0 and %d", n.Count, maxEvery)
-		c.want(n.Rack >= 1, p+".rack", "%d is less than 1", n.Rack)
-		c.want(n.Cores > 0 && n.Memory > 0 && n.Accel >= 0, p, "cores and memory must be above 0")
+		c.Want(n.Count >= 0 && n.Count <= maxEvery, p+".count", "%d is not between 0 and %d", n.Count, maxEvery)
+		c.Want(n.Rack >= 1, p+".rack", "%d is less than 1", n.Rack)
+		c.Want(n.Cores > 0 && n.Memory > 0 && n.Accel >= 0, p, "cores and memory must be above 0")
 		cores += float64(n.Count) * n.Cores
 		memory += unit.Bytes(n.Count) * n.Memory
 		accel += int64(n.Count) * n.Accel
 	}
 	for _, t := range s.Teams {
 		p := "teams[" + t.Name + "]"
-		c.want(t.Cores <= cores, p+".cores", "the quota of %g is more than the site's workers have, %g", t.Cores, cores)
-		c.want(t.Memory <= memory, p+".memory", "the quota of %s is more than the site's workers have, %s", t.Memory, memory)
-		c.want(t.Accel <= accel, p+".accel", "the quota of %d is more than the site's workers have, %d", t.Accel, accel)
+		c.Want(t.Cores <= cores, p+".cores", "the quota of %g is more than the site's workers have, %g", t.Cores, cores)
+		c.Want(t.Memory <= memory, p+".memory", "the quota of %s is more than the site's workers have, %s", t.Memory, memory)
+		c.Want(t.Accel <= accel, p+".accel", "the quota of %d is more than the site's workers have, %d", t.Accel, accel)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -200,6 +200,7 @@
 	m.Version = a.Version
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.forgetAgents()
 	m.Agents = len(e.agents)
 	for name, n := range e.agents {
 		if n.version < a.Version {
@@ -215,7 +216,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stepLocked(route.Tick{})
-	e.forgetAgents()
 	return e.core.Busy()
 }
 
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -2,7 +2,6 @@
 package jobs
 
 import (
-	"errors"
 	"fmt"
 
 	"lagoonrack/internal/tree"
@@ -41,23 +40,18 @@
 	if err := t.Decode(&f); err != nil {
 		return wire.Job{}, err
 	}
-	var errs []error
-	want := func(ok bool, path, format string, args ...any) {
-		if !ok {
-			errs = append(errs, t.Errorf(path, format, args...))
-		}
-	}
-	want(f.Name != "", "name", "a name is needed")
-	want(f.Team != "", "team", "a team is needed")
-	want(f.Kind != "", "kind", "a kind is needed")
-	want(f.Tasks >= 1, "tasks", "%d is less than 1", f.Tasks)
-	want(f.Cores > 0 || f.Memory > 0 || f.Accel > 0, "cores", "some resource must be above 0")
-	want(f.Cores >= 0 && f.Memory >= 0 && f.Accel >= 0, "cores", "no resource may be below 0")
-	want(f.Runtime > 0, "runtime", "a run time above 0 is needed")
-	want(f.Deadline >= 0, "deadline", "%s is below 0", f.Deadline)
-	want(f.Limit >= 0, "limit", "%d is below 0", f.Limit)
-	if len(errs) > 0 {
-		return wire.Job{}, fmt.Errorf("job: %w", errors.Join(errs...))
+	check := tree.Check{Tree: t}
+	check.Want(f.Name != "", "name", "a name is needed")
+	check.Want(f.Team != "", "team", "a team is needed")
+	check.Want(f.Kind != "", "kind", "a kind is needed")
+	check.Want(f.Tasks >= 1, "tasks", "%d is less than 1", f.Tasks)
+	check.Want(f.Cores > 0 || f.Memory > 0 || f.Accel > 0, "cores", "some resource must be above 0")
+	check.Want(f.Cores >= 0 && f.Memory >= 0 && f.Accel >= 0, "cores", "no resource may be below 0")
+	check.Want(f.Runtime > 0, "runtime", "a run time above 0 is needed")
+	check.Want(f.Deadline >= 0, "deadline", "%s is below 0", f.Deadline)
+	check.Want(f.Limit >= 0, "limit", "%d is below 0", f.Limit)
+	if err := check.Err(); err != nil {
+		return wire.Job{}, fmt.Errorf("job: %w", err)
 	}
 	return f.job(), nil
 }
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -4,7 +4,6 @@
 package proc
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -100,35 +99,27 @@
 	if err := t.Decode(&s); err != nil {
 		return s, err
 	}
-	c := checker{tree: t}
+	c := checker{tree.Check{Tree: t}}
 	c.check(s, role)
-	return s, errors.Join(c.errs...)
+	return s, c.Err()
 }
 
-type checker struct {
-	tree *tree.Tree
-	errs []error
-}
-
-func (c *checker) want(ok bool, path, format string, args ...any) {
-	if !ok {
-		c.errs = append(c.errs, c.tree.Errorf(path, format, args...))
-	}
-}
+// checker collects the errors of one settings file.
+type checker struct{ tree.Check }
 
 func (c *checker) address(path, v string) {
 	_, err := netip.ParseAddrPort(v)
-	c.want(err == nil, path, "%q is not an address of IP number and port, such as 127.0.0.1:8080", v)
+	c.Want(err == nil, path, "%q is not an address of IP number and port, such as 127.0.0.1:8080", v)
 }
 
 func (c *checker) unused(path string, set bool) {
-	c.want(!set, path, "this program does not use the key")
+	c.Want(!set, path, "this program does not use the key")
 }
 
 func (c *checker) check(s Settings, role Role) {
-	c.want(s.Name != "", "name", "a name is needed")
+	c.Want(s.Name != "", "name", "a name is needed")
 	if _, err := logs.New(nil, s.Log.Format, s.Log.Level, ""); err != nil {
-		c.want(false, "log", "%v", err)
+		c.Want(false, "log", "%v", err)
 	}
 	switch role {
 	case Entry:
@@ -141,8 +132,8 @@
 }
 
 func (c *checker) place(s Settings) {
-	c.want(s.Site != "", "site", "a site is needed")
-	c.want(s.Zone != "", "zone", "an availability zone is needed")
+	c.Want(s.Site != "", "site", "a site is needed")
+	c.Want(s.Zone != "", "zone", "an availability zone is needed")
 	c.address("operator", s.Operator)
 	c.address("peer", s.Peer)
 	c.unused("stand", len(s.Stand.Minions)+len(s.Stand.Workers) > 0)
@@ -162,19 +153,19 @@
 	c.unused("caller", s.Caller != "")
 	c.unused("platform", s.Platform != "")
 	c.unused("notice", s.Notice != 0)
-	c.want(len(s.Entries) > 0, "entries", "at least one entry is needed")
+	c.Want(len(s.Entries) > 0, "entries", "at least one entry is needed")
 	for i, e := range s.Entries {
 		c.address(fmt.Sprintf("entries[%d]", i), e)
 	}
-	c.want(s.Minion != Minion{} || s.Worker != Worker{}, "name", "an agent needs a minion, a worker or both")
+	c.Want(s.Minion != Minion{} || s.Worker != Worker{}, "name", "an agent needs a minion, a worker or both")
 	if s.Minion != (Minion{}) {
-		c.want(s.Minion.Service != "", "minion.service", "a service is needed")
+		c.Want(s.Minion.Service != "", "minion.service", "a service is needed")
 		c.address("minion.address", s.Minion.Address)
-		c.want(s.Minion.Slots >= 1, "minion.slots", "%d is less than 1", s.Minion.Slots)
+		c.Want(s.Minion.Slots >= 1, "minion.slots", "%d is less than 1", s.Minion.Slots)
 	}
 	if s.Worker != (Worker{}) {
-		c.want(s.Worker.Name != "", "worker.name", "a name is needed")
-		c.want(s.Worker.Cell != "", "worker.cell", "a cell is needed")
+		c.Want(s.Worker.Name != "", "worker.name", "a name is needed")
+		c.Want(s.Worker.Cell != "", "worker.cell", "a cell is needed")
 		c.address("worker.address", s.Worker.Address)
 	}
 }
@@ -186,7 +177,7 @@
 		c.address("stand.minions["+m.Name+"].address", m.Address)
 	}
 	for _, w := range s.Stand.Workers {
-		c.want(w.Cores > 0 && w.Memory > 0 && w.Accel >= 0, "stand.workers["+w.Name+"]", "cores and memory must be above 0")
+		c.Want(w.Cores > 0 && w.Memory > 0 && w.Accel >= 0, "stand.workers["+w.Name+"]", "cores and memory must be above 0")
 	}
 	c.unused("caller", s.Caller != "")
 	c.unused("peer", s.Peer != "")
--- a/internal/trial/config.go
+++ b/internal/trial/config.go
@@ -5,7 +5,6 @@
 package trial
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -77,31 +76,26 @@
 }
 
 func (c Config) check(t *tree.Tree) error {
-	var errs []error
-	want := func(ok bool, path, format string, args ...any) {
-		if !ok {
-			errs = append(errs, t.Errorf(path, format, args...))
-		}
-	}
-	want(c.Name != "", "name", "a name is needed")
-	want(len(c.Entries) > 0, "entries", "at least one number is needed")
-	want(c.Minions > 0 && c.Slots > 0, "minions", "minions and slots must be above 0")
-	want(c.Zones > 0, "zones", "%d is less than 1", c.Zones)
-	want(c.Median > 0, "median", "%s is not above 0", c.Median)
-	want(len(c.Loads) > 0, "loads", "at least one load is needed")
-	want(len(c.Seeds) > 0, "seeds", "at least one seed is needed")
-	want(c.For > 0, "for", "%s is not above 0", c.For)
-	want(c.Timeout > 0, "timeout", "%s is not above 0", c.Timeout)
+	check := tree.Check{Tree: t}
+	check.Want(c.Name != "", "name", "a name is needed")
+	check.Want(len(c.Entries) > 0, "entries", "at least one number is needed")
+	check.Want(c.Minions > 0 && c.Slots > 0, "minions", "minions and slots must be above 0")
+	check.Want(c.Zones > 0, "zones", "%d is less than 1", c.Zones)
+	check.Want(c.Median > 0, "median", "%s is not above 0", c.Median)
+	check.Want(len(c.Loads) > 0, "loads", "at least one load is needed")
+	check.Want(len(c.Seeds) > 0, "seeds", "at least one seed is needed")
+	check.Want(c.For > 0, "for", "%s is not above 0", c.For)
+	check.Want(c.Timeout > 0, "timeout", "%s is not above 0", c.Timeout)
 	for i, p := range c.Policies {
 		_, ok := policies[p]
-		want(ok, fmt.Sprintf("policies[%d]", i), "there is no policy %q", p)
+		check.Want(ok, fmt.Sprintf("policies[%d]", i), "there is no policy %q", p)
 	}
 	switch c.Fault.Kind {
 	case "", "slow", "refuse", "pause":
 	default:
-		want(false, "fault.kind", "there is no fault %q", c.Fault.Kind)
+		check.Want(false, "fault.kind", "there is no fault %q", c.Fault.Kind)
 	}
-	return errors.Join(errs...)
+	return check.Err()
 }
 
 // mean returns the mean run time.
