--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,23 +1,38 @@
 // Package clock gives the shells the time that they pass to the cores.
 package clock
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Clock measures the time since it was made by New.
 type Clock struct {
 	start time.Time
+	boot  time.Duration
 }
 
 // New returns a clock that starts now.
-func New() Clock { return Clock{start: time.Now()} }
-
-// Now returns the time since the start: the larger of what the monotonic and
-// the wall clock say. A VM that was suspended may have stopped the monotonic
-// clock, and a lease must not seem younger for it.
-func (c Clock) Now() time.Duration {
-	now := time.Now()
-	return max(now.Sub(c.start), now.Round(0).Sub(c.start.Round(0)))
+func New() Clock { return Clock{start: time.Now(), boot: boot()} }
+
+// Now returns the time since the start. It goes on while the VM is suspended,
+// so that a lease does not seem younger for it, and does not follow the time of
+// day, which may jump.
+func (c Clock) Now() time.Duration { return boot() - c.boot }
+
+// boot returns the time since the machine started, or that of the steady clock
+// where the system does not tell.
+func boot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Since(process)
+	}
+	return time.Duration(ts.Nano())
 }
 
+// process is when the process started.
+var process = time.Now()
+
 // Epoch returns the wall-clock time of the start, in milliseconds since 1970.
 func (c Clock) Epoch() int64 { return c.start.UnixMilli() }
--- /dev/null
+++ b/internal/front/config.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lagoonrack/internal/fault"
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/work"
+)
+
+const (
+	// feedWait is how long a feed waits for a change.
+	feedWait = 10 * time.Second
+	// readTimeout bounds a read of the store, which takes 4 ms as a rule and
+	// sixty times that on a slow day.
+	readTimeout = 900 * time.Millisecond
+	// retryPause is the wait after a failed call of the store.
+	retryPause = 100 * time.Millisecond
+	// quietFeed is how long a feed may stay without an answer before the row is
+	// read beside it: its connection may have gone silent.
+	quietFeed = time.Second
+)
+
+// loopConfig follows the operators' configuration. It starts from a full read
+// and starts again from one whenever the feed can't go on.
+func (f *Front) loopConfig(ctx context.Context) {
+	for ctx.Err() == nil {
+		from, err := f.readConfig(ctx)
+		if err != nil {
+			f.storeFailed("read configuration", err)
+			f.wait(ctx, retryPause)
+			continue
+		}
+		f.followConfig(ctx, from)
+	}
+}
+
+func (f *Front) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (f *Front) storeFailed(step string, err error) {
+	if f.ctx.Err() != nil {
+		return
+	}
+	f.Tally.Inc("lagoon_store_errors_total", "step", step)
+	f.Log.Error(logs.StoreDown, fault.At(step, "store").Wrap(err), nil)
+}
+
+// readConfig reads the row and returns the version to follow it from.
+func (f *Front) readConfig(ctx context.Context) (uint64, error) {
+	c, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	row, s, err := f.Rows.Read(c, f.Key)
+	if err != nil {
+		return 0, err
+	}
+	f.stamped(s)
+	f.take(row.Value, "store")
+	return s.Version, nil
+}
+
+// followConfig follows the feed until it can't go on.
+func (f *Front) followConfig(ctx context.Context, from uint64) {
+	for ctx.Err() == nil {
+		rows, s, err := f.Rows.Feed(ctx, f.Table, from, feedWait)
+		if err != nil {
+			if !errors.Is(err, plat.ErrForgotten) {
+				f.storeFailed("follow configuration", err)
+				f.wait(ctx, retryPause)
+			}
+			return
+		}
+		f.stamped(s)
+		for _, r := range rows {
+			if r.Key == f.Key {
+				f.take(r.Value, "feed")
+			}
+		}
+		from = max(from, s.Version)
+	}
+}
+
+// take brings a configuration into force if it is newer than the present one.
+func (f *Front) take(raw []byte, source string) {
+	if len(raw) == 0 {
+		return
+	}
+	cfg, err := f.Parse(raw)
+	if err != nil {
+		f.Tally.Inc("lagoon_settings_refused_total")
+		f.Log.Error(logs.Refused, err, logs.Fields{"source": source})
+		return
+	}
+	f.apply.Lock()
+	defer f.apply.Unlock()
+	now := f.config.Load()
+	if now != nil && cfg.Version <= now.Version {
+		return
+	}
+	f.config.Store(&version{Config: cfg, raw: raw, at: f.Clock.Now()})
+	f.leader.Configure(cfg)
+	f.Log.Info(logs.Applied, logs.Fields{"version": cfg.Version, "source": source, "queues": len(cfg.Queues)})
+}
+
+// fetch takes the configuration of another entry.
+func (f *Front) fetch(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var raw []byte
+	if err := f.pool.Get(addr).Call(ctx, work.EntryService+".Config", 0, &raw); err == nil {
+		f.take(raw, addr)
+	}
+}
--- /dev/null
+++ b/internal/front/jobs.go
@@ -0,0 +1,277 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lagoonrack/internal/fault"
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/sched"
+	"lagoonrack/internal/work"
+)
+
+// Fate says what became of a caller's change.
+type Fate int
+
+// The fates of a change.
+const (
+	// Stored says that the change is stored.
+	Stored Fate = iota
+	// Refused says that it is not and never will be.
+	Refused
+	// Missing says that there is nothing to change.
+	Missing
+	// Doubtful says that it may be stored, now or a little later.
+	Doubtful
+)
+
+// Outcome is the answer to a caller.
+type Outcome struct {
+	Fate Fate
+	// Reason is one word for a refusal, and After when to come back.
+	Reason string
+	After  time.Duration
+}
+
+const (
+	// tryTimeout bounds one write; a slow store answers within 250 ms.
+	tryTimeout = 600 * time.Millisecond
+	// refuseAfter is how long a store that turns calls away is tried before the
+	// caller is sent away: less than a quarter of the shortest objective.
+	refuseAfter = 45 * time.Millisecond
+	// tryPause is the wait between two tries.
+	tryPause = 15 * time.Millisecond
+	// outageAfter is when a caller should come back that was refused because
+	// the store is away.
+	outageAfter = time.Second
+)
+
+// Submit accepts a job, once for each identifier, or refuses it at once.
+func (f *Front) Submit(ctx context.Context, j work.Job) Outcome {
+	if err := j.Check(); err != nil {
+		return f.reject(j, "invalid", 0, err)
+	}
+	j.At = f.storeClock()
+	data, err := work.Encode(j)
+	if err != nil {
+		return f.reject(j, "invalid", 0, err)
+	}
+	began := f.Clock.Now()
+	out := f.write(ctx, plat.Txn{
+		Checks: []plat.Check{{Key: sched.JobKey(j.ID)}},
+		Writes: []plat.Write{{Key: sched.JobKey(j.ID), Value: data}},
+	})
+	took := f.Clock.Now() - began
+	switch out.Fate {
+	case Stored:
+		f.Tally.Inc("lagoon_jobs_accepted_total")
+		f.Tally.Seconds(took.Seconds(), "lagoon_accept_seconds")
+		f.Log.Info(logs.Accepted, logs.Fields{"job": j.ID, "queue": j.Queue, "steps": len(j.Steps), "ms": took.Milliseconds()})
+		go f.tellSubmit(j)
+	case Refused:
+		return f.reject(j, out.Reason, out.After, nil)
+	default:
+		f.Tally.Inc("lagoon_jobs_doubtful_total")
+		f.Log.Info(logs.Doubtful, logs.Fields{"job": j.ID, "queue": j.Queue, "ms": took.Milliseconds()})
+	}
+	return out
+}
+
+func (f *Front) reject(j work.Job, reason string, after time.Duration, err error) Outcome {
+	f.Tally.Inc("lagoon_job_refusals_total", "reason", reason)
+	fields := logs.Fields{"job": j.ID, "queue": j.Queue, "reason": reason, "after": after.Milliseconds()}
+	if err != nil {
+		f.Log.Error(logs.Rejected, err, fields)
+	} else {
+		f.Log.Info(logs.Rejected, fields)
+	}
+	return Outcome{Fate: Refused, Reason: reason, After: after}
+}
+
+// write repeats a transaction that creates a row until its fate is certain or
+// the caller's time is over. A conflict means that the row is there.
+func (f *Front) write(ctx context.Context, txn plat.Txn) Outcome {
+	began := f.Clock.Now()
+	doubt := false
+	for {
+		c, cancel := context.WithTimeout(ctx, tryTimeout)
+		s, err := f.Rows.Commit(c, txn)
+		cancel()
+		switch {
+		case err == nil:
+			f.stamped(s)
+			return Outcome{Fate: Stored}
+		case errors.Is(err, plat.ErrConflict):
+			return Outcome{Fate: Stored}
+		case !errors.Is(err, plat.ErrRefused):
+			doubt = true
+		}
+		f.storeFailed("write row", err)
+		if !doubt && f.Clock.Now()-began > refuseAfter {
+			return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+		}
+		f.wait(ctx, tryPause)
+		if ctx.Err() != nil {
+			if doubt {
+				return Outcome{Fate: Doubtful}
+			}
+			return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+		}
+	}
+}
+
+// tellSubmit tells the owner of a job. If that fails the owner reads the row.
+func (f *Front) tellSubmit(j work.Job) {
+	if f.leader.Submit(j) == nil {
+		return
+	}
+	f.tell("Submit", j, j.ID)
+}
+
+func (f *Front) tellCancel(id string) {
+	if f.leader.Cancel(id) == nil {
+		return
+	}
+	f.tell("Cancel", id, id)
+}
+
+func (f *Front) tell(method string, v any, id string) {
+	addr, _ := f.leader.Owner()
+	if addr == "" || addr == f.server.Addr() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, peerTimeout)
+	defer cancel()
+	if err := f.pool.Get(addr).Call(ctx, work.EntryService+"."+method, v, new(work.Pong)); err != nil {
+		f.Tally.Inc("lagoon_owner_untold_total", "step", method)
+		f.Log.Info(logs.PeerLost, logs.Fields{"owner": addr, "step": method, "job": id, "error": err.Error()})
+	}
+}
+
+// Cancel withdraws a job.
+func (f *Front) Cancel(ctx context.Context, id string) Outcome {
+	found, err := f.exists(ctx, id)
+	if err != nil {
+		return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+	}
+	if !found {
+		return Outcome{Fate: Missing}
+	}
+	out := f.write(ctx, plat.Txn{
+		Checks: []plat.Check{{Key: sched.CancelKey(id)}},
+		Writes: []plat.Write{{Key: sched.CancelKey(id), Value: []byte{1}}},
+	})
+	if out.Fate == Stored {
+		f.Tally.Inc("lagoon_jobs_cancelled_total")
+		f.Log.Info(logs.Withdrawn, logs.Fields{"job": id})
+		go f.tellCancel(id)
+	}
+	return out
+}
+
+// exists reports whether a job is stored. It is read until the store answers or
+// the caller's time is over.
+func (f *Front) exists(ctx context.Context, id string) (bool, error) {
+	if s, err := f.askState(ctx, id); err == nil && s != "" {
+		return true, nil
+	}
+	for {
+		c, cancel := context.WithTimeout(ctx, tryTimeout)
+		row, _, err := f.Rows.Read(c, sched.JobKey(id))
+		cancel()
+		if err == nil {
+			return row.Version != 0, nil
+		}
+		f.storeFailed("read job", err)
+		f.wait(ctx, 2*tryPause)
+		if ctx.Err() != nil {
+			return false, ctx.Err()
+		}
+	}
+}
+
+// askTimeout bounds the wait for the owner's word on a job.
+const askTimeout = 250 * time.Millisecond
+
+// askState asks the owner for the state of a job.
+func (f *Front) askState(ctx context.Context, id string) (string, error) {
+	if s, err := f.leader.State(id); err == nil {
+		return s, nil
+	}
+	addr, _ := f.leader.Owner()
+	if addr == "" || addr == f.server.Addr() {
+		return "", leaderUnknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var s string
+	err := f.pool.Get(addr).Call(ctx, work.EntryService+".State", id, &s)
+	return s, err
+}
+
+var leaderUnknown = errors.New("the owner is not known")
+
+// State returns the state of a job, or Missing.
+func (f *Front) State(ctx context.Context, id string) (string, Outcome) {
+	if s, err := f.askState(ctx, id); err == nil && s != "" {
+		return s, Outcome{}
+	}
+	for {
+		s, err := f.readState(ctx, id)
+		if err == nil && s == "" {
+			return "", Outcome{Fate: Missing}
+		}
+		if err == nil {
+			return s, Outcome{}
+		}
+		f.storeFailed("read state", err)
+		f.wait(ctx, 2*tryPause)
+		if ctx.Err() != nil {
+			return "", Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+		}
+		if s, err := f.askState(ctx, id); err == nil && s != "" {
+			return s, Outcome{}
+		}
+	}
+}
+
+// readState reads the state of a job from its rows.
+func (f *Front) readState(ctx context.Context, id string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	row, _, err := f.Rows.Read(ctx, sched.JobKey(id))
+	if err != nil || row.Version == 0 {
+		return "", err
+	}
+	var j work.Job
+	if err := work.Decode(row.Value, &j); err != nil {
+		return "", fault.At("decode job", id).Wrap(err)
+	}
+	var st work.State
+	if row, _, err = f.Rows.Read(ctx, sched.StateKey(id)); err != nil {
+		return "", err
+	}
+	if row.Version != 0 {
+		if err := work.Decode(row.Value, &st); err != nil {
+			return "", fault.At("decode state", id).Wrap(err)
+		}
+	}
+	row, _, err = f.Rows.Read(ctx, sched.CancelKey(id))
+	if err != nil {
+		return "", err
+	}
+	return sched.Shown(j, st, row.Version != 0), nil
+}
+
+// Pending counts the jobs of a queue of which no task was started. It is at
+// most one ping old, or the last that an owner said.
+func (f *Front) Pending(queue string) int {
+	if n, _, err := f.leader.Pending(); err == nil {
+		return n[queue]
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pending[queue]
+}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -31,6 +31,7 @@
 	Notice  unit.Span `yaml:"notice" doc:"Time that an entry serves on after its health turned red."`
 	Minion  Minion    `yaml:"minion" doc:"Minion beside the agent; left out if there is none."`
 	Worker  Worker    `yaml:"worker" doc:"Worker beside the agent; left out if there is none."`
+	Fleet   Fleet     `yaml:"fleet" doc:"What a process needs on the users' platform; left out on the stand-ins."`
 	Stand   Stand     `yaml:"stand" doc:"What a stand-in platform offers."`
 }
 
@@ -55,6 +56,22 @@
 	Address string `yaml:"address" doc:"Address of the worker's runtime."`
 }
 
+// Fleet is what a process needs on the users' platform.
+type Fleet struct {
+	On bool `yaml:"on" doc:"Whether the process runs on the users' platform."`
+	// Check is for entries, Announce for agents.
+	Check    string    `yaml:"check" doc:"Address at which an entry answers the balancer."`
+	Announce string    `yaml:"announce" doc:"Address at which an agent's worker registers."`
+	Advisor  string    `yaml:"advisor" doc:"Address of the platform's advisor, if there is one."`
+	Cloud    string    `yaml:"cloud" doc:"Address of the platform's list of machines."`
+	Power    float64   `yaml:"power" doc:"Processor share of the machine; the most powerful entry is preferred as owner."`
+	Lease    unit.Span `yaml:"lease" doc:"How long a worker goes on without a renewal by its agent."`
+	Trust    unit.Span `yaml:"trust" doc:"How long an agent renews without a word from the owner."`
+	Keep     unit.Span `yaml:"keep" doc:"How long an ended job can be asked for."`
+	Grace    unit.Span `yaml:"grace" doc:"How long a worker takes to stop a task."`
+	Early    unit.Span `yaml:"early" doc:"How long before its due time an occurrence of a job may start."`
+}
+
 // Stand is what a stand-in platform offers.
 type Stand struct {
 	Minions []StandMinion `yaml:"minions" doc:"Stand-in minions."`
@@ -118,6 +135,11 @@
 
 func (c *checker) check(s Settings, role Role) {
 	c.Want(s.Name != "", "name", "a name is needed")
+	if s.Fleet.On {
+		c.fleet(s, role)
+		return
+	}
+	c.unused("fleet", s.Fleet != Fleet{})
 	if _, err := logs.New(nil, s.Log.Format, s.Log.Level, ""); err != nil {
 		c.Want(false, "log", "%v", err)
 	}
@@ -170,6 +192,24 @@
 	}
 }
 
+// fleet checks the settings of a process on the users' platform.
+func (c *checker) fleet(s Settings, role Role) {
+	c.address("peer", s.Peer)
+	c.address("operator", s.Operator)
+	c.address("platform", s.Platform)
+	c.Want(s.Fleet.Lease > 0, "fleet.lease", "a span above 0 is needed")
+	switch role {
+	case Entry:
+		c.address("caller", s.Caller)
+		c.address("fleet.check", s.Fleet.Check)
+	case Agent:
+		c.address("worker.address", s.Worker.Address)
+		c.address("fleet.announce", s.Fleet.Announce)
+	case Platform:
+		c.Want(false, "fleet.on", "a stand-in does not run on the users' platform")
+	}
+}
+
 func (c *checker) platform(s Settings) {
 	c.address("platform", s.Platform)
 	c.address("operator", s.Operator)
--- a/internal/prog/prog.go
+++ b/internal/prog/prog.go
@@ -14,6 +14,7 @@
 	"lagoonrack/internal/stand"
 	"lagoonrack/internal/stand/serve"
 	"lagoonrack/internal/vect"
+	"lagoonrack/platform"
 )
 
 // Entry is the program lagoond.
@@ -27,8 +28,11 @@
 }
 
 func startEntry(s proc.Settings, log logs.Log) (func(), error) {
-	platform := &rpcs.Client{Addr: s.Platform}
-	e := entry.New(s, serve.TableOf(platform), serve.StoreOf(platform), log)
+	if s.Fleet.On {
+		return platform.StartEntry(s, log)
+	}
+	client := &rpcs.Client{Addr: s.Platform}
+	e := entry.New(s, serve.TableOf(client), serve.StoreOf(client), log)
 	if err := e.Start(); err != nil {
 		return nil, err
 	}
@@ -46,6 +50,9 @@
 }
 
 func startAgent(s proc.Settings, log logs.Log) (func(), error) {
+	if s.Fleet.On {
+		return platform.StartAgent(s, log)
+	}
 	var w plat.Worker
 	if s.Worker.Name != "" {
 		w = serve.WorkerOf(&rpcs.Client{Addr: s.Worker.Address}, s.Worker.Name)
--- a/internal/rpcs/client.go
+++ b/internal/rpcs/client.go
@@ -11,8 +11,11 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/plat"
 )
@@ -23,6 +26,21 @@
 // dialTimeout bounds the making of a connection.
 const dialTimeout = time.Second
 
+// peerSilence is how long data may stay unacknowledged before the connection
+// counts as broken; partitions are noticed by it.
+const peerSilence = 3 * time.Second
+
+var dialer = net.Dialer{Timeout: dialTimeout, Control: userTimeout}
+
+// userTimeout bounds how long a connection waits for a peer that is cut off.
+func userTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(peerSilence.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // Client calls one peer. It connects at the first call.
 type Client struct {
 	// Addr is the peer's address of IP number and port.
@@ -30,6 +48,9 @@
 	// Delay returns how long a message to the peer is held back, one way. It
 	// may be nil; experiments set it to stand for a distance.
 	Delay func() time.Duration
+	// Strict gives a connection up when a call on it times out, because a
+	// connection may go silent while a new one works.
+	Strict bool
 
 	mu      sync.Mutex
 	conn    *rpc.Client
@@ -47,6 +68,9 @@
 	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
+		if c.Strict && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.drop(conn, ctx.Err())
+		}
 		return fault.At(method, c.Addr).Wrap(ctx.Err())
 	case <-call.Done:
 	}
@@ -73,8 +97,7 @@
 	if c.conn != nil {
 		return c.conn, nil
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", c.Addr)
+	conn, err := dialer.DialContext(ctx, "tcp", c.Addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rpcs/pool.go
+++ b/internal/rpcs/pool.go
@@ -9,6 +9,8 @@
 type Pool struct {
 	// Delay returns the one-way delay towards a peer; it may be nil.
 	Delay func(addr string) time.Duration
+	// Strict makes strict clients.
+	Strict bool
 
 	// Traffic counts the bytes over all clients.
 	Traffic Traffic
@@ -25,7 +27,7 @@
 	if c != nil {
 		return c
 	}
-	c = &Client{Addr: addr, traffic: &p.Traffic}
+	c = &Client{Addr: addr, Strict: p.Strict, traffic: &p.Traffic}
 	if p.Delay != nil {
 		c.Delay = func() time.Duration { return p.Delay(addr) }
 	}
--- /dev/null
+++ b/internal/runner/orders.go
@@ -0,0 +1,214 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/work"
+)
+
+// Peer is what the owner calls at an agent.
+type Peer struct{ runner *Runner }
+
+// Order carries an owner's order out.
+func (p *Peer) Order(o work.Order, out *work.Results) error {
+	*out = p.runner.order(o)
+	return nil
+}
+
+// Meet tells of the owner.
+func (p *Peer) Meet(o work.Order, _ *work.Results) error {
+	r := p.runner
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard(o.Term, o.Owner)
+	signal(r.news)
+	return nil
+}
+
+const (
+	// resultWait is how long an order waits for the fates of its starts.
+	resultWait = 900 * time.Millisecond
+	// startTries is how often a start without an answer is tried: the worker
+	// takes a repeated start as one.
+	startTries = 2
+	// voidTries is how often a start without an answer is called off.
+	voidTries = 3
+	// abreast bounds the calls at the worker at a time.
+	abreast = 3
+)
+
+func (r *Runner) order(o work.Order) work.Results {
+	if code := r.refuses(o); code != "" {
+		return r.refused(o, code)
+	}
+	var waits []*order
+	slots := make(chan struct{}, abreast)
+	for _, s := range o.Starts {
+		waits = append(waits, r.begin(o, s, slots))
+	}
+	for _, s := range o.Stops {
+		go r.stop(o, s)
+	}
+	return r.await(o, waits)
+}
+
+// refuses returns why an order is not carried out, or nothing.
+func (r *Runner) refuses(o work.Order) work.Code {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Term < r.term {
+		return work.Fenced
+	}
+	r.heard(o.Term, o.Owner)
+	if o.Life != r.worker.Life || r.gone {
+		return work.Other
+	}
+	r.seen = max(r.seen, o.Noted)
+	return ""
+}
+
+func (r *Runner) refused(o work.Order, code work.Code) work.Results {
+	res := work.Results{Life: o.Life, Term: r.highest()}
+	for _, s := range o.Starts {
+		res.Starts = append(res.Starts, work.Result{Run: s.Run, Code: code})
+	}
+	if len(o.Starts)+len(o.Stops) > 0 {
+		r.Tally.Inc("lagoon_order_refusals_total", "reason", string(code))
+	}
+	return res
+}
+
+func (r *Runner) highest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.term
+}
+
+// begin starts a run unless that was ordered before.
+func (r *Runner) begin(o work.Order, s work.Start, slots chan struct{}) *order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w := r.orders[s.Run]; w != nil {
+		return w
+	}
+	w := &order{done: make(chan struct{}), code: work.Unknown}
+	now := r.Clock.Now()
+	switch until := r.lease.until(now); {
+	case r.worker.Leaving:
+		w.code = work.Leaving
+		close(w.done)
+	case until == 0:
+		w.code = work.Late
+		close(w.done)
+	default:
+		r.orders[s.Run] = w
+		r.about[s.Run] = s.About
+		go r.run(w, plat.StartRun{
+			Life: o.Life, Run: s.Run, Spec: o.Specs[jobOf(s.Task)], Until: until, Term: o.Term, Saved: s.Saved, Ticket: s.Ticket,
+		}, slots)
+	}
+	return w
+}
+
+func jobOf(task string) string {
+	p, _ := work.Parse(task)
+	return p.Job
+}
+
+// run orders a start of the worker until its fate is known.
+func (r *Runner) run(w *order, s plat.StartRun, slots chan struct{}) {
+	slots <- struct{}{}
+	code := r.try(s)
+	<-slots
+	if code == work.Unknown {
+		code = r.callOff(s)
+	}
+	r.Tally.Inc("lagoon_starts_total", "code", string(code))
+	if code != work.Started {
+		r.Log.Info(logs.StartRefused, logs.Fields{"task": s.Task, "run": s.Num, "code": string(code)})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.code = code
+	if code == work.Unknown {
+		// The owner will order it again.
+		delete(r.orders, s.Run)
+	}
+	close(w.done)
+}
+
+func (r *Runner) try(s plat.StartRun) work.Code {
+	for range startTries {
+		if !r.valid(s) {
+			return work.Unknown
+		}
+		ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
+		a, err := r.Runtime.Start(ctx, s)
+		cancel()
+		if err == nil {
+			return a.Code
+		}
+		r.Tally.Inc("lagoon_worker_errors_total", "step", "start")
+	}
+	return work.Unknown
+}
+
+// valid reports whether an order may still be sent: the term is the newest,
+// the worker the same and takes new work.
+func (r *Runner) valid(s plat.StartRun) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return s.Term == r.term && s.Life == r.worker.Life && !r.worker.Leaving && r.lease.trusts(r.Clock.Now())
+}
+
+// callOff stops a run that may have been started or may yet start. A worker
+// that has taken the stop of a run that is not there never starts it; whether
+// it was there is shown by its next list.
+func (r *Runner) callOff(s plat.StartRun) work.Code {
+	for range voidTries {
+		ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
+		a, err := r.Runtime.Stop(ctx, plat.StopRun{Life: s.Life, Run: s.Run, Term: s.Term})
+		cancel()
+		if err == nil && a.Code == work.Started {
+			return work.Old
+		}
+	}
+	return work.Unknown
+}
+
+func (r *Runner) stop(o work.Order, s work.Run) {
+	ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
+	defer cancel()
+	_, err := r.Runtime.Stop(ctx, plat.StopRun{Life: o.Life, Run: s, Term: o.Term})
+	if err != nil {
+		// The owner repeats a stop until the end is listed.
+		r.Tally.Inc("lagoon_worker_errors_total", "step", "stop")
+	}
+}
+
+// await collects the fates that are known in time.
+func (r *Runner) await(o work.Order, waits []*order) work.Results {
+	t := time.NewTimer(resultWait)
+	defer t.Stop()
+	expired := false
+	for _, w := range waits {
+		if expired {
+			break
+		}
+		select {
+		case <-w.done:
+		case <-t.C:
+			expired = true
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := work.Results{Life: o.Life, Term: r.term}
+	for i, w := range waits {
+		res.Starts = append(res.Starts, work.Result{Run: o.Starts[i].Run, Code: w.code})
+	}
+	return res
+}
--- /dev/null
+++ b/internal/sched/job.go
@@ -0,0 +1,356 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"lagoonrack/internal/work"
+)
+
+// job is a job with the progress of its tasks.
+type job struct {
+	work.Job
+	// past is the number of occurrences, from 0 on, that are complete.
+	past int
+	// occs holds the occurrences from past on that were looked at.
+	occs   []*occ
+	places map[*place]bool
+	// begun says that some task was ever started.
+	begun             bool
+	failed, cancelled bool
+	complete          bool
+	// ended is when the job ended, in milliseconds of the store's clock.
+	ended int64
+	// shown is the state that is stored and may be told.
+	shown  string
+	dirty  bool
+	due    time.Duration
+	taken  time.Duration
+	listed bool
+	// unfit is when the job was last found without a place for some task.
+	unfit time.Duration
+}
+
+// occ is one occurrence of a job's steps.
+type occ struct {
+	k     int
+	steps []*step
+}
+
+// step is one occurrence of a step.
+type step struct {
+	*work.Step
+	job      *job
+	k, index int
+	tasks    []*task
+	// left is the number of tasks that have not ended well.
+	left int
+}
+
+// task is one task of a step.
+type task struct {
+	step  *step
+	index int
+	// run is the highest run number used.
+	run    int64
+	done   bool
+	fails  int
+	saved  string
+	places []*place
+	// bad lists workers on which the task failed.
+	bad []string
+	// since is when the task came to need a place.
+	since time.Duration
+}
+
+// place is a run of a task on a worker.
+type place struct {
+	task   *task
+	run    int64
+	worker *worker
+	// stored says that the place is committed, sent when it was ordered last,
+	// and okay when the start was confirmed.
+	stored bool
+	sent   time.Duration
+	okay   time.Duration
+	// adopted says that the place was found by a new owner, which can't know
+	// whether the start was ordered.
+	adopted bool
+	// known says that the worker has listed the run or confirmed its start.
+	known bool
+	// void says that the run will not start any more if the worker does not
+	// list it.
+	void bool
+	// stop is why the run is to end, or empty.
+	stop     string
+	stopSent time.Duration
+	percent  int
+	// moved is when the percent changed last.
+	moved  time.Duration
+	saved  string
+	figure int64
+	// unseen counts the lists without the run since it was confirmed.
+	unseen int
+	ticket string
+}
+
+func (p *place) name() string { return p.task.name() }
+
+func (p *place) ref() work.Run { return work.Run{Task: p.name(), Num: p.run} }
+
+func (t *task) name() string {
+	return work.TaskName(t.step.job.ID, t.step.k, t.step.index, t.index)
+}
+
+// waits reports whether the task needs a place.
+func (t *task) waits() bool { return !t.done && len(t.places) == 0 }
+
+// over reports whether nothing of the job is to be started any more.
+func (j *job) over() bool { return j.failed || j.cancelled || j.complete }
+
+func newOcc(j *job, k int, now time.Duration) *occ {
+	o := &occ{k: k}
+	for i := range j.Steps {
+		s := &step{Step: &j.Steps[i], job: j, k: k, index: i, left: j.Steps[i].Count}
+		s.tasks = make([]*task, s.Count)
+		for x := range s.tasks {
+			s.tasks[x] = &task{step: s, index: x, since: now}
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+// ready reports whether all steps that a step waits for have ended.
+func (o *occ) ready(s *step) bool {
+	for _, a := range s.After {
+		if o.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *occ) complete() bool {
+	for _, s := range o.steps {
+		if s.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// occ returns occurrence k, which must not be past.
+func (j *job) occ(k int, now time.Duration) *occ {
+	for len(j.occs) <= k-j.past {
+		j.occs = append(j.occs, newOcc(j, j.past+len(j.occs), now))
+	}
+	return j.occs[k-j.past]
+}
+
+// task returns a task by its place in the job, or nil.
+func (j *job) task(p work.Place, now time.Duration) *task {
+	if p.K < j.past || p.K >= j.Occurrences() || p.Step < 0 || p.Step >= len(j.Steps) {
+		return nil
+	}
+	s := j.occ(p.K, now).steps[p.Step]
+	if p.Index < 0 || p.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[p.Index]
+}
+
+// state returns what is stored of the job.
+func (j *job) state() work.State {
+	st := work.State{Failed: j.failed, Ended: j.ended, Past: j.past}
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.run > 0 || t.done {
+					st.Tasks = append(st.Tasks, t.state())
+				}
+			}
+		}
+	}
+	return st
+}
+
+func (t *task) state() work.TaskState {
+	s := work.TaskState{K: t.step.k, Step: t.step.index, Index: t.index, Run: t.run, Done: t.done, Fails: t.fails, Saved: t.saved}
+	for _, p := range t.places {
+		s.Places = append(s.Places, work.PlaceState{Run: p.run, Life: p.worker.Life, Agent: p.worker.agent})
+	}
+	return s
+}
+
+// load restores a job from its rows.
+func (c *Core) load(spec work.Job, st work.State) {
+	j := c.enter(spec)
+	j.past, j.failed, j.ended = st.Past, st.Failed, st.Ended
+	for _, ts := range st.Tasks {
+		t := j.task(work.Place{Job: j.ID, K: ts.K, Step: ts.Step, Index: ts.Index}, c.now)
+		if t == nil {
+			continue
+		}
+		c.restore(t, ts)
+	}
+	j.complete = j.past == j.Occurrences()
+	c.settle(j)
+	j.shown = j.now()
+}
+
+func (c *Core) restore(t *task, ts work.TaskState) {
+	j := t.step.job
+	t.run, t.done, t.fails, t.saved = ts.Run, ts.Done, ts.Fails, ts.Saved
+	if t.run > 0 {
+		j.begun = true
+	}
+	if t.done {
+		t.step.left--
+	}
+	for _, ps := range ts.Places {
+		w := c.worker(ps.Life, ps.Agent)
+		w.until = max(w.until, c.now+c.limits.lapse())
+		p := &place{task: t, run: ps.Run, worker: w, stored: true, adopted: true, sent: c.now + 1, saved: t.saved}
+		w.add(p)
+		t.places = append(t.places, p)
+		j.places[p] = true
+	}
+}
+
+// enter adds a job to the tables.
+func (c *Core) enter(spec work.Job) *job {
+	j := &job{Job: spec, places: map[*place]bool{}, shown: "queued", taken: c.now}
+	c.jobs[j.ID] = j
+	j.listed = true
+	c.active = append(c.active, j)
+	return j
+}
+
+func (c *Core) submit(spec work.Job) {
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	j := c.enter(spec)
+	c.emit(Note{Kind: "job", Job: j.ID, Reason: j.Queue})
+	c.moved = true
+	if c.cancels[j.ID] {
+		delete(c.cancels, j.ID)
+		c.cancel(j.ID)
+	}
+}
+
+// cancel withdraws a job and ends what runs of it.
+func (c *Core) cancel(id string) {
+	j := c.jobs[id]
+	if j == nil {
+		c.cancels[id] = true
+		return
+	}
+	if j.over() {
+		return
+	}
+	j.cancelled = true
+	j.ended = c.clock()
+	j.shown = j.now()
+	c.emit(Note{Kind: "cancel", Job: id})
+	c.stopAll(j, "cancelled")
+	c.touch(j)
+}
+
+func (c *Core) stopAll(j *job, reason string) {
+	for _, p := range sorted(j.places) {
+		c.stop(p, reason)
+	}
+}
+
+func sorted(places map[*place]bool) []*place {
+	out := make([]*place, 0, len(places))
+	for p := range places {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *place) int {
+		if a.task.step.k != b.task.step.k {
+			return a.task.step.k - b.task.step.k
+		}
+		if a.task.step.index != b.task.step.index {
+			return a.task.step.index - b.task.step.index
+		}
+		if a.task.index != b.task.index {
+			return a.task.index - b.task.index
+		}
+		return int(a.run - b.run)
+	})
+	return out
+}
+
+// now returns the state of the job in memory.
+func (j *job) now() string {
+	switch {
+	case j.complete:
+		return "completed"
+	case j.cancelled:
+		return "cancelled"
+	case j.failed:
+		return "failed"
+	case j.begun:
+		return "running"
+	}
+	return "queued"
+}
+
+// settle moves the job on after a change: complete occurrences are dropped, and
+// the new state is shown once it is stored.
+func (c *Core) settle(j *job) {
+	for len(j.occs) > 0 && j.occs[0].complete() {
+		j.occs = j.occs[1:]
+		j.past++
+	}
+	if j.past == j.Occurrences() && !j.complete && !j.cancelled {
+		j.complete = true
+		j.ended = c.clock()
+		c.emit(Note{Kind: "complete", Job: j.ID, Reason: j.Queue, Took: c.now - j.taken})
+	}
+	if s := j.now(); s != j.shown {
+		c.after(func() { j.show(s) })
+	}
+}
+
+// show lets a stored state be told. A withdrawal is told at once and stays.
+func (j *job) show(s string) {
+	if !j.cancelled {
+		j.shown = s
+	}
+}
+
+// failJob gives a job up: a task failed too often.
+func (c *Core) failJob(j *job) {
+	if j.over() {
+		return
+	}
+	j.failed = true
+	j.ended = c.clock()
+	c.emit(Note{Kind: "fail", Job: j.ID, Reason: j.Queue, Took: c.now - j.taken})
+	c.touch(j)
+	c.stopAll(j, "failed")
+	c.settle(j)
+}
+
+// State returns the state of a job that may be told, or an empty one.
+func (c *Core) State(id string) string {
+	if j := c.jobs[id]; j != nil {
+		return j.shown
+	}
+	return ""
+}
+
+// Pending counts, for each queue, the jobs of which no task was started.
+func (c *Core) Pending() map[string]int {
+	out := map[string]int{}
+	for _, j := range c.active {
+		if !j.begun && !j.over() {
+			out[j.Queue]++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,302 @@
+package sched
+
+import (
+	"slices"
+
+	"lagoonrack/internal/work"
+)
+
+// schedule gives places to tasks that wait, in the order of their jobs.
+func (c *Core) schedule() {
+	open := c.opened()
+	for _, j := range c.ranked() {
+		c.scheduleJob(j, open)
+	}
+}
+
+// opened lists the workers that may get new runs.
+func (c *Core) opened() []*worker {
+	var out []*worker
+	for _, k := range sortedKeys(c.workers) {
+		if w := c.workers[k]; c.open(w) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func (c *Core) scheduleJob(j *job, open []*worker) {
+	c.arrive(j)
+	for _, o := range slices.Clone(j.occs) {
+		for _, s := range o.steps {
+			if s.left > 0 && o.ready(s) {
+				c.scheduleStep(s, open)
+			}
+		}
+	}
+}
+
+// arrive makes the occurrences whose time has come.
+func (c *Core) arrive(j *job) {
+	if j.Times <= 0 {
+		if len(j.occs) == 0 {
+			j.occ(0, c.now)
+		}
+		return
+	}
+	now, ok := c.unix.at(c.now)
+	if !ok {
+		return
+	}
+	for k := j.past + len(j.occs); k < j.Times; k++ {
+		if now.Milliseconds() < j.First+int64(k)*j.Every {
+			return
+		}
+		j.occ(k, c.now)
+	}
+}
+
+func (c *Core) scheduleStep(s *step, open []*worker) {
+	can := c.candidates(s, open)
+	if len(can) == 0 {
+		return
+	}
+	if s.Gang {
+		c.scheduleGang(s, can)
+		return
+	}
+	for _, t := range s.tasks {
+		if !t.waits() {
+			continue
+		}
+		w := c.choose(t, can)
+		if w == nil {
+			return
+		}
+		c.start(t, w, t.run+1)
+	}
+}
+
+// candidates lists the workers that may run a step by its queue, labels and
+// the advisor.
+func (c *Core) candidates(s *step, open []*worker) []*worker {
+	service := s.job.Service
+	q, ok := c.queues[s.job.Queue]
+	if ok {
+		service = q.Service
+	}
+	var out []*worker
+	for _, w := range open {
+		if w.Service == service && w.has(s.Needs) {
+			out = append(out, w)
+		}
+	}
+	if !q.Advised || !s.waiting() {
+		return out
+	}
+	advised := slices.DeleteFunc(slices.Clone(out), func(w *worker) bool {
+		_, ok := c.ticket(s, w)
+		return !ok
+	})
+	if len(advised) == 0 {
+		c.consult(s, out)
+	}
+	return advised
+}
+
+func (s *step) waiting() bool { return slices.ContainsFunc(s.tasks, (*task).waits) }
+
+// name is that of the step, without a task's index.
+func (s *step) name() string { return work.StepName(s.job.ID, s.k, s.index) }
+
+// choose returns the best worker for a task, or nil if none has room now.
+func (c *Core) choose(t *task, can []*worker) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range can {
+		if !c.fits(t, w) {
+			continue
+		}
+		score := c.score(t, w)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// fits reports whether a worker may take a task now.
+func (c *Core) fits(t *task, w *worker) bool {
+	s := t.step
+	if !s.Reserved().Fits(w.room()) {
+		return false
+	}
+	if s.Apart > 0 && s.on(w) >= s.Apart {
+		return false
+	}
+	if w.suspect() && !c.mayProbe(t, w) {
+		return false
+	}
+	if s.Fills {
+		return w.fill == 0 || w.fill+s.Size.Cores <= c.idle(w)
+	}
+	return true
+}
+
+// on counts the step's tasks on a worker.
+func (s *step) on(w *worker) int {
+	n := 0
+	for p := range w.places {
+		if p.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// mayProbe reports whether a suspect worker may get the task as a test: it has
+// attempts to spare and no other test is under way.
+func (c *Core) mayProbe(t *task, w *worker) bool {
+	if c.attempts(t.step.job)-t.fails <= 1 && !t.step.Lasts {
+		return false
+	}
+	return c.now-w.probe > probeEvery
+}
+
+// servingShare is the share of the processor time reserved by lasting tasks
+// that they use on average.
+const servingShare = 0.6
+
+// idle is the processor time that tasks which fill may hope for.
+func (c *Core) idle(w *worker) int64 {
+	return w.Size.Cores - int64(servingShare*float64(w.used.Cores))
+}
+
+const (
+	// nearWeight puts a worker on the wanted rack before any other.
+	nearWeight = 10
+	// badWeight puts workers where the task failed last.
+	badWeight = 100
+	// copyWeight keeps tasks of one step apart where nothing else decides.
+	copyWeight = 0.02
+)
+
+// score says how well a worker suits a task that fits.
+func (c *Core) score(t *task, w *worker) float64 {
+	s := t.step
+	var v float64
+	if s.Fills {
+		v = float64(c.idle(w)-w.fill) / float64(max(1, w.Size.Cores))
+	} else {
+		v = 1 - w.used.Add(s.Reserved()).Load(w.Size)
+	}
+	if s.Near != "" && w.has(s.Near) {
+		v += nearWeight
+	}
+	if slices.Contains(t.bad, w.ID) || w.suspect() {
+		v -= badWeight
+	}
+	return v - copyWeight*float64(s.on(w))
+}
+
+// start gives a task a place on a worker, to be ordered once that is stored.
+func (c *Core) start(t *task, w *worker, run int64) *place {
+	t.run = run
+	p := &place{task: t, run: run, worker: w, saved: t.saved}
+	if q := c.queues[t.step.job.Queue]; q.Advised {
+		p.ticket, _ = c.ticket(t.step, w)
+	}
+	w.add(p)
+	if w.suspect() {
+		w.probe = c.now
+	}
+	t.places = append(t.places, p)
+	j := t.step.job
+	j.places[p] = true
+	if !j.begun {
+		j.begun = true
+	}
+	c.touch(j)
+	c.emit(Note{Kind: "place", Task: p.name(), Run: run, Worker: w.ID, Took: c.now - t.since})
+	c.after(func() { c.ready(p) })
+	c.settle(j)
+	return p
+}
+
+// ready orders a place that is stored, unless it was given up meanwhile.
+func (c *Core) ready(p *place) {
+	if !p.worker.places[p] {
+		return
+	}
+	p.stored = true
+	if p.stop == "" {
+		c.order(p)
+	}
+}
+
+// fitsElsewhere reports whether another worker could take the task of a place.
+func (c *Core) fitsElsewhere(p *place) bool {
+	for _, w := range c.candidates(p.task.step, c.opened()) {
+		if w != p.worker && c.fits(p.task, w) {
+			return true
+		}
+	}
+	return false
+}
+
+// scheduleGang starts the tasks of a gang together, if there is room for all.
+// All members carry the same run number and the same checkpoint.
+func (c *Core) scheduleGang(s *step, can []*worker) {
+	var run int64
+	saved := ""
+	for _, t := range s.tasks {
+		if t.done || len(t.places) > 0 {
+			return
+		}
+		run = max(run, t.run)
+		if t.saved != "" {
+			saved = t.saved
+		}
+	}
+	var trial []*place
+	for _, t := range s.tasks {
+		w := c.choose(t, c.gangOrder(s, trial, can))
+		if w == nil {
+			break
+		}
+		p := &place{task: t, worker: w}
+		w.add(p)
+		trial = append(trial, p)
+	}
+	for _, p := range trial {
+		p.worker.remove(p)
+	}
+	if len(trial) < len(s.tasks) {
+		return
+	}
+	for _, p := range trial {
+		p.task.saved = saved
+		c.start(p.task, p.worker, run+1)
+	}
+}
+
+// gangOrder narrows the candidates to one rack for a gang that is slower on
+// several, as long as that rack has room.
+func (c *Core) gangOrder(s *step, placed []*place, can []*worker) []*worker {
+	if !s.Tight || len(placed) == 0 {
+		return can
+	}
+	rack := placed[0].worker.Rack()
+	var same []*worker
+	for _, w := range can {
+		if w.Rack() == rack {
+			same = append(same, w)
+		}
+	}
+	for _, w := range same {
+		if c.fits(s.tasks[len(placed)], w) {
+			return same
+		}
+	}
+	return can
+}
--- /dev/null
+++ b/internal/sched/report.go
@@ -0,0 +1,353 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lagoonrack/internal/work"
+)
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// report takes an agent's report in.
+func (c *Core) report(e Report) {
+	if e.Worker.ID == "" {
+		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term}})
+		return
+	}
+	if now := c.agents[e.Agent]; now != nil && now.Born > e.Worker.Born {
+		// The report is of an earlier life.
+		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term}})
+		return
+	}
+	w := c.worker(e.Worker.Life, e.Agent)
+	c.unix.add(e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
+	c.succeed(w)
+	fresh := !w.known || w.Leaving != e.Worker.Leaving
+	w.Worker = e.Worker
+	w.heard = c.now
+	w.known = true
+	if fresh {
+		c.moved = true
+		c.emit(Note{Kind: "worker", Worker: w.ID, Reason: leaving(w.Leaving)})
+	}
+	for _, x := range e.Ends {
+		c.ended(w, x)
+	}
+	if e.Listed {
+		c.listed(w, e.Running, c.now-time.Duration(e.Age)*time.Millisecond)
+	}
+	c.lease(w, e)
+	c.answer(w, e)
+}
+
+func leaving(b bool) string {
+	if b {
+		return "leaving"
+	}
+	return "ready"
+}
+
+// succeed ends earlier lives of the same worker or at the same agent.
+func (c *Core) succeed(w *worker) {
+	if w.known {
+		return
+	}
+	for _, k := range sortedKeys(c.workers) {
+		o := c.workers[k]
+		if o != w && !o.gone && o.Born < w.Born && (o.agent == w.agent || o.ID == w.ID) {
+			o.gone = true
+			c.lose(o, "reborn")
+		}
+	}
+}
+
+// lease bounds how long the worker may run on without another word.
+func (c *Core) lease(w *worker, e Report) {
+	switch {
+	case e.Gone:
+		w.gone = true
+		c.lose(w, "gone")
+	case e.Cut:
+		if !w.cut {
+			c.emit(Note{Kind: "cut", Worker: w.ID, Reason: "no answer"})
+		}
+		w.cut = true
+		w.until = min(w.until, c.now+slow(time.Duration(e.Left)*time.Millisecond)+margin)
+		if c.now >= w.until {
+			c.lose(w, "lease")
+		}
+	default:
+		if w.cut {
+			c.emit(Note{Kind: "back", Worker: w.ID})
+			c.moved = true
+		}
+		w.cut = false
+		w.until = max(w.until, c.now+c.limits.lapse())
+	}
+}
+
+// answer replies once the ends of the report are stored.
+func (c *Core) answer(w *worker, e Report) {
+	r := work.Reply{Term: c.term, Renew: !e.Cut && !w.gone, About: c.about(w, e.Asks)}
+	c.after(func() {
+		r.Noted = w.noted
+		c.emit(Reply{Token: e.Token, Reply: r})
+	})
+}
+
+func (c *Core) about(w *worker, asks []work.Run) []work.About {
+	var out []work.About
+	for _, a := range asks {
+		if p := c.placeOf(w, a); p != nil {
+			out = append(out, p.about())
+		}
+	}
+	return out
+}
+
+// taskOf returns the task that a run is of, or nil.
+func (c *Core) taskOf(r work.Run) *task {
+	at, ok := work.Parse(r.Task)
+	if !ok {
+		return nil
+	}
+	j := c.jobs[at.Job]
+	if j == nil {
+		return nil
+	}
+	return j.task(at, c.now)
+}
+
+// placeOf returns the place of a run on a worker, or nil.
+func (c *Core) placeOf(w *worker, r work.Run) *place {
+	t := c.taskOf(r)
+	if t == nil {
+		return nil
+	}
+	for _, p := range t.places {
+		if p.worker == w && p.run == r.Num {
+			return p
+		}
+	}
+	return nil
+}
+
+// ended takes the end of a run in.
+func (c *Core) ended(w *worker, x work.End) {
+	if x.N <= w.seen {
+		return
+	}
+	w.seen = x.N
+	if p := c.placeOf(w, x.Run); p != nil {
+		c.finish(p, x.How, x.Saved)
+	} else if t := c.taskOf(x.Run); t != nil && x.How == work.Done && t.run == x.Num && t.waits() && !t.step.Lasts {
+		// The run was given up, and ended well before its lease did.
+		c.done(t)
+	}
+	c.after(func() { w.noted = max(w.noted, x.N) })
+}
+
+// finish ends a place as the worker told.
+func (c *Core) finish(p *place, how work.How, saved string) {
+	t := p.task
+	j := t.step.job
+	c.emit(Note{Kind: "end", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: string(how), Took: c.now - p.okay})
+	if saved == "" {
+		saved = p.saved
+	}
+	if saved != "" {
+		t.saved = saved
+	}
+	c.judge(p, how)
+	c.free(p)
+	switch {
+	case how == work.Done && !t.step.Lasts:
+		c.done(t)
+	case how == work.Failed && !t.step.Lasts:
+		t.fails++
+		t.bad = append(t.bad, p.worker.ID)
+		if t.fails >= c.attempts(j) {
+			c.failJob(j)
+		}
+	}
+	c.settle(j)
+}
+
+// done marks a task as ended well, and ends its other copies.
+func (c *Core) done(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.left--
+	t.saved = ""
+	c.touch(t.step.job)
+	for _, q := range slices.Clone(t.places) {
+		c.stop(q, "copy")
+	}
+	c.settle(t.step.job)
+}
+
+const defaultAttempts = 3
+
+func (c *Core) attempts(j *job) int {
+	if q, ok := c.queues[j.Queue]; ok && q.Attempts > 0 {
+		return q.Attempts
+	}
+	return defaultAttempts
+}
+
+// judge learns from the end of a run what the worker is worth.
+func (c *Core) judge(p *place, how work.How) {
+	w := p.worker
+	switch how {
+	case work.Done:
+		w.streak, w.good = 0, c.now
+		c.learned.run(p, c.now)
+	case work.Failed:
+		w.streak++
+		w.bad = c.now
+		if w.streak == suspectAfter {
+			c.emit(Note{Kind: "suspect", Worker: w.ID, Reason: "failures"})
+		}
+	}
+}
+
+// unseenLists is how many lists without a run show that it is not there.
+const unseenLists = 2
+
+// listed compares what a worker runs, as of a time, with what it should.
+func (c *Core) listed(w *worker, all []work.Running, at time.Duration) {
+	seen := map[*place]bool{}
+	for _, r := range all {
+		p := c.placeOf(w, r.Run)
+		if p == nil {
+			c.stray(w, r.Run)
+			continue
+		}
+		seen[p] = true
+		c.progress(p, r)
+	}
+	for _, p := range sorted(w.places) {
+		if seen[p] {
+			continue
+		}
+		if p.adopted && p.stop == "" {
+			// A start that is ordered again has no further effect if it ran.
+			p.adopted = false
+			c.order(p)
+			continue
+		}
+		if !p.known || !p.stored || at < p.okay+margin {
+			continue
+		}
+		p.unseen++
+		if p.void {
+			c.vanished(p, "void")
+			continue
+		}
+		if p.unseen < unseenLists {
+			continue
+		}
+		if p.stop == "" {
+			// A stop makes certain that the run never starts.
+			c.stop(p, "vanished")
+			p.unseen = 0
+			continue
+		}
+		c.vanished(p, p.stop)
+	}
+}
+
+// vanished frees a place whose run is over without a listed end.
+func (c *Core) vanished(p *place, reason string) {
+	c.emit(Note{Kind: "vanish", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: reason})
+	if p.saved != "" {
+		p.task.saved = p.saved
+	}
+	c.free(p)
+	c.settle(p.task.step.job)
+}
+
+// progress takes in what a worker says of a run.
+func (c *Core) progress(p *place, r work.Running) {
+	if !p.known {
+		p.known = true
+		p.okay = c.now
+		p.moved = c.now
+	}
+	p.unseen = 0
+	if r.Saved != "" {
+		p.saved = r.Saved
+	}
+	if r.Percent != p.percent {
+		p.percent = r.Percent
+		p.moved = c.now
+	}
+	p.figure = r.Figure
+}
+
+// stray ends a run that nothing is known of: its place was given up, or it was
+// ordered by an owner whose transaction did not take effect.
+func (c *Core) stray(w *worker, r work.Run) {
+	c.emit(Note{Kind: "stray", Task: r.Task, Run: r.Num, Worker: w.ID})
+	o := c.tell(w)
+	o.Stops = append(o.Stops, r)
+}
+
+// roomBlock is how long a worker gets nothing after it refused a run for want
+// of room: about the time until its next report.
+const roomBlock = 200 * time.Millisecond
+
+// results takes the fates of ordered starts in.
+func (c *Core) results(e work.Results) {
+	w := c.workers[lifeKey(e.Life)]
+	if w == nil {
+		return
+	}
+	for _, r := range e.Starts {
+		p := c.placeOf(w, r.Run)
+		if p == nil {
+			continue
+		}
+		c.fate(p, r.Code)
+	}
+}
+
+func (c *Core) fate(p *place, code work.Code) {
+	switch code {
+	case work.Started:
+		if !p.known {
+			p.known = true
+			p.okay, p.moved = c.now, c.now
+			c.emit(Note{Kind: "started", Task: p.name(), Run: p.run, Worker: p.worker.ID, Took: c.now - p.task.step.job.taken})
+		}
+	case work.Unknown:
+	case work.Old:
+		// It ran there before or was called off, and will not start any more.
+		// The next list or its end will tell.
+		if !p.known {
+			p.known, p.void = true, true
+			p.okay = c.now
+		}
+	default:
+		if p.known {
+			return
+		}
+		c.emit(Note{Kind: "refused", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: string(code)})
+		if code == work.NoRoom || code == work.Sick {
+			p.worker.blocked = c.now + roomBlock
+		}
+		if code == work.Sick {
+			p.worker.streak++
+			p.worker.bad = c.now
+		}
+		if code == work.Ticket {
+			c.advice.forget(p)
+		}
+		c.free(p)
+	}
+}
