press, pace: learn which image disturbs which, place and pace by it

Change: a Kalman filter of the factor of each pair and of each serving load (press); placement asks for the room that is left under the limit; the agent slows the run that disturbs most by no more than needed (pace).

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,124 +1,263 @@
 // Package pace decides how fast tasks that use what others leave may work, so
-// that the tails of the serving tasks beside them stay below their targets. It
-// answers the load of waves within seconds, on measurements that cover the last
-// half second.
+// that the tails of the serving tasks beside them stay below their targets.
+//
+// It answers the load of waves within seconds, on measurements that cover the
+// last half second. What each image does to another is told by the owner, which
+// learns it over all workers; of several tasks the one that disturbs most is
+// slowed first, and by no more than the stress has to fall.
 package pace
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"lagoonrack/internal/press"
 	"lagoonrack/internal/work"
 )
 
 // Guard follows one worker. The zero value is ready.
 type Guard struct {
-	paced map[work.Run]int
-	// level is the share at which all filling runs work now.
-	level int
-	// ceiling is the level that did harm last, and since when it is avoided.
-	ceiling int
-	hurt    time.Duration
+	// factors and bases are the owner's word.
+	factors map[[2]string]float64
+	bases   map[string]float64
+	cores   int64
+	levels  map[work.Run]*level
+	// over is since when a serving task has been over its target.
+	over map[work.Run]time.Duration
+	// changed is when a level was last changed.
 	changed time.Duration
-	began   bool
 	busy    bool
 }
 
+// level is the share at which a run works, in hundredths.
+type level struct {
+	at, asked int
+	// share is what the run uses of the worker's processors when let go.
+	share float64
+}
+
 const (
 	full = 100
-	// high and over are the shares of a target above which filling runs are
-	// slowed, and low that below which they are let go.
-	high, over, low = 0.85, 1.0, 0.65
 	// lag is how long a change takes to show: half a second of measurement and
 	// the time until it is in force.
 	lag = 650 * time.Millisecond
-	// raise is the step up, in hundredths.
-	raise = 20
-	// least is the level below which a run is stopped altogether.
+	// safe is the stress below the limit at which tasks are slowed, and calm
+	// that at which they are let go.
+	safe, calm = 0.04, 0.1
+	// least is the level below which a run is halted.
 	least = 10
-	// memory is how long a level that did harm is avoided.
-	memory = 4 * time.Second
+	// patience is how long a serving task may be over its target before all that
+	// fills beside it is halted; the users bear 4 s.
+	patience = 2 * time.Second
+	// unknown is the factor of a pair of which nothing was told.
+	unknown = 0.7
 )
 
+// Told takes in what the owner knows of the images on the worker.
+func (g *Guard) Told(cores int64, pairs []work.Press, bases map[string]float64) {
+	g.cores = cores
+	if g.factors == nil {
+		g.factors = map[[2]string]float64{}
+	}
+	for _, p := range pairs {
+		g.factors[[2]string{p.Fill, p.Serve}] = float64(p.Factor)
+	}
+	if len(bases) > 0 {
+		g.bases = bases
+	}
+}
+
 // Busy reports whether the worker has to be watched closely.
 func (g *Guard) Busy() bool { return g.busy }
 
 // Lost notes that an order to pace a run may not have been carried out.
-func (g *Guard) Lost(r work.Run) { delete(g.paced, r) }
+func (g *Guard) Lost(r work.Run) {
+	if l := g.levels[r]; l != nil {
+		l.asked = -1
+	}
+}
+
+// serve is a serving task with its stress.
+type serve struct {
+	run          work.Run
+	image        string
+	stress, most float64
+}
+
+// fill is a task that fills, with its level.
+type fill struct {
+	run   work.Run
+	image string
+	*level
+}
 
 // Step takes in what a worker runs and returns the runs to be paced.
 func (g *Guard) Step(now time.Duration, running []work.Running, about map[work.Run]work.About) []work.Pace {
-	if !g.began {
-		g.began, g.level, g.ceiling = true, full, full
+	serves, fills := g.split(now, running, about)
+	g.busy = len(serves) > 0 && len(fills) > 0
+	if !g.busy {
+		return g.orders(fills, "calm")
+	}
+	reason := "calm"
+	switch {
+	case g.tooLong(now):
+		for _, f := range fills {
+			f.at = 0
+		}
+		g.changed, reason = now, "over"
+	case now-g.changed < lag && g.changed != 0:
+	default:
+		if g.slow(serves, fills) {
+			g.changed, reason = now, "tail"
+		} else if g.release(serves, fills) {
+			g.changed = now
+		}
 	}
-	worst := 0.0
-	var fills []work.Run
+	return g.orders(fills, reason)
+}
+
+// split reads the list of runs.
+func (g *Guard) split(now time.Duration, running []work.Running, about map[work.Run]work.About) ([]serve, []fill) {
+	var serves []serve
+	var fills []fill
+	levels := map[work.Run]*level{}
+	over := map[work.Run]time.Duration{}
 	for _, r := range running {
 		a := about[r.Run]
 		switch {
 		case a.Fills:
-			fills = append(fills, r.Run)
+			l := g.levels[r.Run]
+			if l == nil {
+				l = &level{at: full, asked: full}
+			}
+			if l.at == full || l.share == 0 {
+				l.share = float64(r.Figure) / float64(max(1, g.cores))
+			}
+			levels[r.Run] = l
+			fills = append(fills, fill{r.Run, a.Image, l})
 		case a.Lasts && a.Target > 0 && r.Percent >= full:
-			worst = max(worst, float64(r.Figure)/float64(a.Target))
+			base := g.base(a)
+			serves = append(serves, serve{r.Run, a.Image, press.Stress(base, r.Figure), 1 - base/float64(a.Target)})
+			if r.Figure > a.Target {
+				over[r.Run] = now
+				if t, ok := g.over[r.Run]; ok {
+					over[r.Run] = t
+				}
+			}
 		}
 	}
-	g.busy = worst > 0 && len(fills) > 0
-	g.adjust(now, worst, len(fills))
-	return g.orders(fills, worst)
+	g.levels, g.over = levels, over
+	return serves, fills
 }
 
-// adjust moves the level by the worst tail.
-func (g *Guard) adjust(now time.Duration, worst float64, fills int) {
-	if g.changed != 0 && now-g.changed < lag {
-		return
+// firstBase is the share of a target that counts as an idle task's tail until
+// the owner tells.
+const firstBase = 0.2
+
+func (g *Guard) base(a work.About) float64 {
+	if b := g.bases[a.Image]; b > 0 {
+		return b
 	}
-	switch {
-	case fills == 0:
-		return
-	case worst > over && g.level > 0:
-		g.hurt, g.ceiling = now, g.level
-		g.set(now, g.level/3)
-	case worst > high && g.level > 0:
-		g.hurt, g.ceiling = now, g.level
-		g.set(now, g.level*2/3)
-	case worst < low && g.level < full:
-		next := min(full, g.level+raise)
-		if now-g.hurt < memory {
-			next = min(next, g.ceiling*4/5)
+	return firstBase * float64(a.Target)
+}
+
+// tooLong reports whether a serving task has been over its target for so long
+// that nothing may fill beside it.
+func (g *Guard) tooLong(now time.Duration) bool {
+	for _, t := range g.over {
+		if now-t >= patience {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Guard) factor(fill, serve string) float64 {
+	if f, ok := g.factors[[2]string{fill, serve}]; ok {
+		return f
+	}
+	return unknown
+}
+
+// slow takes speed from the runs that disturb most until no serving task is to
+// be expected above its safe stress, and reports whether it did.
+func (g *Guard) slow(serves []serve, fills []fill) bool {
+	did := false
+	for _, s := range serves {
+		need := s.stress - (s.most - safe)
+		if need <= 0 {
+			continue
 		}
-		if next > g.level {
-			g.set(now, next)
+		cost := func(f fill) float64 { return g.factor(f.image, s.image) * f.share * float64(f.at) / full }
+		sorted := slices.Clone(fills)
+		slices.SortStableFunc(sorted, func(a, b fill) int { return cmp.Compare(cost(b), cost(a)) })
+		for _, f := range sorted {
+			c := cost(f)
+			if need <= 0 || f.at == 0 || c <= 0 {
+				continue
+			}
+			at := f.at
+			f.at = floor(int(float64(f.at) * (1 - min(1, need/c))))
+			need -= c * float64(at-f.at) / float64(at)
+			did = true
 		}
 	}
+	return did
 }
 
-func (g *Guard) set(now time.Duration, level int) {
+func floor(level int) int {
 	if level < least {
-		level = 0
+		return 0
 	}
-	g.level, g.changed = level, now
+	return level
 }
 
-// orders returns the runs that do not work at the level.
-func (g *Guard) orders(fills []work.Run, worst float64) []work.Pace {
-	var out []work.Pace
-	live := map[work.Run]int{}
-	for _, r := range fills {
-		at, ok := g.paced[r]
-		if !ok {
-			at = full
+// release lets runs go again that were slowed, as far as no serving task is to
+// be expected near its limit, those that disturb least first.
+func (g *Guard) release(serves []serve, fills []fill) bool {
+	did := false
+	worst := func(f fill) float64 {
+		w := 0.0
+		for _, s := range serves {
+			w = max(w, g.factor(f.image, s.image)*f.share)
+		}
+		return w
+	}
+	sorted := slices.Clone(fills)
+	slices.SortStableFunc(sorted, func(a, b fill) int { return cmp.Compare(worst(a), worst(b)) })
+	added := map[work.Run]float64{}
+	for _, f := range sorted {
+		if f.at == full {
+			continue
+		}
+		up := float64(full-f.at) / full
+		for _, s := range serves {
+			if c := g.factor(f.image, s.image) * f.share; c > 0 {
+				up = min(up, (s.most-calm-s.stress-added[s.run])/c)
+			}
+		}
+		next := floor(f.at + int(up*full))
+		if next <= f.at {
+			continue
 		}
-		if at != g.level {
-			out = append(out, work.Pace{Run: r, Percent: g.level, Reason: reason(worst)})
+		for _, s := range serves {
+			added[s.run] += g.factor(f.image, s.image) * f.share * float64(next-f.at) / full
 		}
-		live[r] = g.level
+		f.at = min(full, next)
+		did = true
 	}
-	g.paced = live
-	return out
+	return did
 }
 
-func reason(worst float64) string {
-	if worst > high {
-		return "tail"
+// orders returns the runs that do not work at their level.
+func (g *Guard) orders(fills []fill, reason string) []work.Pace {
+	var out []work.Pace
+	for _, f := range fills {
+		if f.at != f.asked {
+			f.asked = f.at
+			out = append(out, work.Pace{Run: f.run, Percent: f.at, Reason: reason})
+		}
 	}
-	return "calm"
+	return out
 }
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -49,7 +49,24 @@
 			pause(ctx, holdPause)
 			continue
 		}
-		r.took(ctx, h, held, sent)
+		if r.took(ctx, h, held, sent) {
+			r.await(ctx)
+		}
+	}
+}
+
+// noteWait bounds the wait for the owner to store ends. A worker answers at
+// once while it lists ends that may not be forgotten yet.
+const noteWait = 150 * time.Millisecond
+
+// await waits until the owner has stored the ends that are listed.
+func (r *Runner) await(ctx context.Context) {
+	t := time.NewTimer(noteWait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.noted:
+	case <-t.C:
 	}
 }
 
@@ -94,12 +111,13 @@
 	}
 }
 
-// took takes the worker's answer in.
-func (r *Runner) took(ctx context.Context, h plat.Hold, held plat.Held, sent time.Duration) {
+// took takes the worker's answer in, and reports whether it lists ends that
+// the owner has yet to store.
+func (r *Runner) took(ctx context.Context, h plat.Hold, held plat.Held, sent time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if h.Life != r.worker.Life || held.Born != 0 && held.Born != r.worker.Born {
-		return
+		return false
 	}
 	now := r.Clock.Now()
 	if r.lease.silent {
@@ -121,6 +139,7 @@
 	for _, p := range r.guard.Step(now, r.running, r.about) {
 		go r.pace(ctx, h.Life, p)
 	}
+	return len(r.ends) > 0
 }
 
 // newer drops ends that the owner has stored, and sorts the rest.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -52,7 +52,7 @@
 	for _, s := range o.Stops {
 		go r.stop(o, s)
 	}
-	return r.await(o, waits)
+	return r.fates(o, waits)
 }
 
 // refuses returns why an order is not carried out, or nothing.
@@ -66,7 +66,7 @@
 	if o.Life != r.worker.Life || r.gone {
 		return work.Other
 	}
-	r.seen = max(r.seen, o.Noted)
+	r.stored(o.Noted)
 	return ""
 }
 
@@ -189,8 +189,8 @@
 	}
 }
 
-// await collects the fates that are known in time.
-func (r *Runner) await(o work.Order, waits []*order) work.Results {
+// fates collects the fates that are known in time.
+func (r *Runner) fates(o work.Order, waits []*order) work.Results {
 	t := time.NewTimer(resultWait)
 	defer t.Stop()
 	expired := false
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -135,15 +135,28 @@
 	for _, a := range rpl.About {
 		r.about[a.Run] = a
 	}
-	r.seen = max(r.seen, rpl.Noted)
+	if rpl.Press != nil {
+		r.guard.Told(r.worker.Size.Cores, rpl.Press, rpl.Bases)
+	}
+	r.stored(rpl.Noted)
 	if n := len(rep.Ends); n > 0 {
 		r.told = max(r.told, rep.Ends[n-1].N)
 	}
-	r.ends = newer(r.ends, r.seen)
 	r.lease.told(sent, rpl.Renew, rep.Cut)
 	return true
 }
 
+// stored takes in that the owner has stored ends up to a number. It must be
+// called with the mutex held.
+func (r *Runner) stored(n int64) {
+	if n <= r.seen {
+		return
+	}
+	r.seen = n
+	r.ends = newer(r.ends, n)
+	signal(r.noted)
+}
+
 // heard takes in a term and its owner. It must be called with the mutex held.
 func (r *Runner) heard(term uint64, owner string) {
 	if term < r.term || owner == "" {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -44,7 +44,9 @@
 	// news is signalled when the owner should hear something at once, and
 	// woken when there is a worker to hold.
 	news, woken chan struct{}
-	leaving     atomic.Bool
+	// noted is signalled when the owner has stored more ends.
+	noted   chan struct{}
+	leaving atomic.Bool
 
 	mu sync.Mutex
 	// worker is the newest life that announced itself; an empty ID is none.
@@ -89,6 +91,7 @@
 	r.lease.limits = r.Limits
 	r.news = make(chan struct{}, 1)
 	r.woken = make(chan struct{}, 1)
+	r.noted = make(chan struct{}, 1)
 	r.entries = map[string]time.Duration{}
 	r.reset(work.Worker{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"lagoonrack/internal/plat"
+	"lagoonrack/internal/press"
 	"lagoonrack/internal/work"
 )
 
@@ -59,6 +60,7 @@
 	effects []Effect
 	out     []*worker
 	learned table
+	press   press.Table
 	advice  advisor
 	purged  time.Duration
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	if s.Fills {
-		return w.fill == 0 || w.fill+s.Size.Cores <= c.idle(w)
+		return c.fillFits(s, w)
 	}
 	return true
 }
@@ -163,15 +163,6 @@
 	return c.now-w.probe > probeEvery
 }
 
-// servingShare is the share of the processor time reserved by lasting tasks
-// that they use on average.
-const servingShare = 0.6
-
-// idle is the processor time that tasks which fill may hope for.
-func (c *Core) idle(w *worker) int64 {
-	return w.Size.Cores - int64(servingShare*float64(w.used.Cores))
-}
-
 const (
 	// nearWeight puts a worker on the wanted rack before any other.
 	nearWeight = 10
@@ -186,7 +177,7 @@
 	s := t.step
 	var v float64
 	if s.Fills {
-		v = float64(c.idle(w)-w.fill) / float64(max(1, w.Size.Cores))
+		v = c.fillScore(s, w)
 	} else {
 		v = 1 - w.used.Add(s.Reserved()).Load(w.Size)
 	}
@@ -207,6 +198,9 @@
 		p.ticket, _ = c.ticket(t.step, w)
 	}
 	w.add(p)
+	if t.step.Fills {
+		w.refilled = c.now
+	}
 	if w.suspect() {
 		w.probe = c.now
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -92,6 +92,7 @@
 // answer replies once the ends of the report are stored.
 func (c *Core) answer(w *worker, e Report) {
 	r := work.Reply{Term: c.term, Renew: !e.Cut && !w.gone, About: c.about(w, e.Asks)}
+	r.Press, r.Bases = c.pressOn(w)
 	c.after(func() {
 		r.Noted = w.noted
 		c.emit(Reply{Token: e.Token, Reply: r})
@@ -231,6 +232,7 @@
 		seen[p] = true
 		c.progress(p, r)
 	}
+	c.observe(w, seen)
 	for _, p := range sorted(w.places) {
 		if seen[p] {
 			continue
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -19,6 +19,8 @@
 	// that those ask for which use what is left.
 	used vect.Size
 	fill int64
+	// refilled is when the set of tasks that fill changed last.
+	refilled time.Duration
 	// heard is when the last report came, and until is after the end of every
 	// lease that the worker may hold.
 	heard, until time.Duration
@@ -179,6 +181,12 @@
 func (c *Core) free(p *place) {
 	j := p.task.step.job
 	p.worker.remove(p)
+	if p.task.step.Fills {
+		p.worker.refilled = c.now
+	}
+	if p.task.step.Lasts {
+		c.press.Forget(p.name())
+	}
 	delete(j.places, p)
 	p.task.places = slices.DeleteFunc(p.task.places, func(q *place) bool { return q == p })
 	if p.task.waits() {
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -40,6 +40,10 @@
 	About []About `cbor:"5,keyasint,omitempty"`
 	// Entries are the addresses of the entries that are known.
 	Entries []string `cbor:"6,keyasint,omitempty"`
+	// Press tells how the images on the worker disturb one another, and Bases
+	// the tails, in milliseconds, of serving images that are idle.
+	Press []Press            `cbor:"7,keyasint,omitempty"`
+	Bases map[string]float64 `cbor:"8,keyasint,omitempty"`
 }
 
 // About tells an agent what it has to know of a run to guard it.
@@ -155,3 +159,11 @@
 type Load struct {
 	Wait map[string]int64
 }
+
+// Press is how much a filling image disturbs a serving one: the stress that it
+// adds for each share of the worker's processors.
+type Press struct {
+	Fill   string  `cbor:"1,keyasint"`
+	Serve  string  `cbor:"2,keyasint"`
+	Factor float32 `cbor:"3,keyasint"`
+}
