sched: pack serving tasks, move starved fills, least harm first

Cause: with the least used worker first every worker had 4 or 5 serving tasks, the worst of which had 0.1 of stress to spare, so 120 to 240 filling tasks waited while 400 cores were idle; halted ones kept their places. Change: fullest worker first for what reserves, starved fills that save go on elsewhere, fills go where they add least stress.

--- a/internal/press/press.go
+++ b/internal/press/press.go
@@ -56,7 +56,7 @@
 	highest = 0.97
 	// baseShare is the share of the lowest tail ever seen that counts as the
 	// tail of an idle task; firstBase is that share of the target before.
-	baseShare, firstBase = 0.82, 0.25
+	baseShare, firstBase = 0.92, 0.2
 )
 
 // Fill is a task that fills: its image and the share of the worker's
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -20,6 +20,13 @@
 	pressMargin = 0.08
 	// covers is how long a measurement looks back.
 	covers = 600 * time.Millisecond
+	// starvedShare is the share of what it asks for below which a task that
+	// fills counts as starved, and starvedFor how long that may last before it
+	// goes on elsewhere. Its stop makes a checkpoint, so nothing is lost.
+	starvedShare = 0.4
+	starvedFor   = 700 * time.Millisecond
+	// avoidFor is how long a task is kept off a worker that it was taken off.
+	avoidFor = 3 * time.Second
 	// full is the percent of a lasting task that is at work.
 	full = 100
 )
@@ -70,10 +77,44 @@
 	return out
 }
 
-// fillScore prefers workers whose serving tasks stay calm and that have
-// processors left.
+// fillScore prefers workers where the task disturbs least, then those whose
+// serving tasks are calm and that have processors left.
 func (c *Core) fillScore(s *step, w *worker) float64 {
-	return c.pressRoom(s, w) + share(c.idle(w)-w.fill, w)
+	x := share(s.Size.Cores, w)
+	harm := 0.0
+	for p := range w.places {
+		if q := p.task.step; q.Lasts && q.Target > 0 {
+			harm = max(harm, x*c.press.Factor(s.Image, q.Image))
+		}
+	}
+	return roomWeight*(c.pressRoom(s, w)+share(c.idle(w)-w.fill, w)) - harm
+}
+
+// roomWeight is what calm is worth against the stress that a task adds. The
+// room of a worker that a task hardly disturbs is left to those that need it.
+const roomWeight = 0.2
+
+// starve notes whether a run that fills gets what it asks for.
+func (c *Core) starve(p *place) {
+	s := p.task.step
+	if !s.Fills || float64(p.figure) >= starvedShare*float64(s.Size.Cores) {
+		p.starved = 0
+	} else if p.starved == 0 {
+		p.starved = c.now
+	}
+}
+
+// relieve takes starved tasks off a worker.
+func (c *Core) relieve(w *worker) {
+	for _, p := range sorted(w.places) {
+		s := p.task.step
+		if p.starved == 0 || p.stop != "" || !s.Saves || s.Gang || c.now-p.starved < starvedFor || c.now-p.okay < starvedFor {
+			continue
+		}
+		p.task.left, p.task.leftAt = w.ID, c.now
+		c.emit(Note{Kind: "move", Task: p.name(), Run: p.run, Worker: w.ID, Reason: "starved"})
+		c.stop(p, "starved")
+	}
 }
 
 // observe learns from what a worker measured.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -57,6 +57,9 @@
 	fails  int
 	saved  string
 	places []*place
+	// left is the worker that the task was taken off last, and leftAt when.
+	left   string
+	leftAt time.Duration
 	// bad lists workers on which the task failed.
 	bad []string
 	// since is when the task came to need a place.
@@ -89,6 +92,9 @@
 	moved  time.Duration
 	saved  string
 	figure int64
+	// starved is since when a run that fills gets little of what it asks for,
+	// or 0.
+	starved time.Duration
 	// unseen counts the lists without the run since it was confirmed.
 	unseen int
 	ticket string
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -131,6 +131,9 @@
 	if !s.Reserved().Fits(w.room()) {
 		return false
 	}
+	if t.left == w.ID && c.now-t.leftAt < avoidFor {
+		return false
+	}
 	if s.Apart > 0 && s.on(w) >= s.Apart {
 		return false
 	}
@@ -179,7 +182,9 @@
 	if s.Fills {
 		v = c.fillScore(s, w)
 	} else {
-		v = 1 - w.used.Add(s.Reserved()).Load(w.Size)
+		// The fullest comes first, so that some workers stay without serving
+		// tasks and what fills disturbs nobody there.
+		v = w.used.Add(s.Reserved()).Load(w.Size)
 	}
 	if s.Near != "" && w.has(s.Near) {
 		v += nearWeight
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -290,6 +290,7 @@
 		p.moved = c.now
 	}
 	p.figure = r.Figure
+	c.starve(p)
 }
 
 // stray ends a run that nothing is known of: its place was given up, or it was
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -251,6 +251,7 @@
 		}
 	}
 	c.evacuate(w)
+	c.relieve(w)
 }
 
 const (
