sched: a refusal ends a run only if no other order can be under way

Ruled out: lost ends (the list and the ends of one hold come together). Change: refusals of runs that were ordered more than once call the run off and wait until the worker has taken the stop; an agent calls a start off after any try without an answer; an agent that is fenced looks for the owner.

--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -12,16 +12,14 @@
 )
 
 const (
-	// feedWait is how long a feed waits for a change.
-	feedWait = 10 * time.Second
+	// feedWait is how long a feed waits for a change. A connection that has gone
+	// silent is noticed at its end, within the two seconds that the users give.
+	feedWait = time.Second
 	// readTimeout bounds a read of the store, which takes 4 ms as a rule and
 	// sixty times that on a slow day.
 	readTimeout = 900 * time.Millisecond
 	// retryPause is the wait after a failed call of the store.
 	retryPause = 100 * time.Millisecond
-	// quietFeed is how long a feed may stay without an answer before the row is
-	// read beside it: its connection may have gone silent.
-	quietFeed = time.Second
 )
 
 // loopConfig follows the operators' configuration. It starts from a full read
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -202,7 +202,7 @@
 	}
 	addr, _ := f.leader.Owner()
 	if addr == "" || addr == f.server.Addr() {
-		return "", leaderUnknown
+		return "", errNoOwner
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -211,7 +211,7 @@
 	return s, err
 }
 
-var leaderUnknown = errors.New("the owner is not known")
+var errNoOwner = errors.New("the owner is not known")
 
 // State returns the state of a job, or Missing.
 func (f *Front) State(ctx context.Context, id string) (string, Outcome) {
@@ -245,10 +245,6 @@
 	if err != nil || row.Version == 0 {
 		return "", err
 	}
-	var j work.Job
-	if err := work.Decode(row.Value, &j); err != nil {
-		return "", fault.At("decode job", id).Wrap(err)
-	}
 	var st work.State
 	if row, _, err = f.Rows.Read(ctx, sched.StateKey(id)); err != nil {
 		return "", err
@@ -262,7 +258,7 @@
 	if err != nil {
 		return "", err
 	}
-	return sched.Shown(j, st, row.Version != 0), nil
+	return sched.Shown(st, row.Version != 0), nil
 }
 
 // Pending counts the jobs of a queue of which no task was started. It is at
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -100,7 +100,7 @@
 	if res.Term > t.number {
 		l.Learn(res.Term, "")
 	}
-	if len(res.Starts) > 0 {
+	if len(res.Starts)+len(res.Stops) > 0 {
 		l.step(t, sched.Results{Results: res})
 	}
 }
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -103,6 +103,17 @@
 		signal(r.news)
 		return
 	}
+	if errors.Is(err, plat.ErrFenced) {
+		// Another owner has been here before; this one is not the owner, or was
+		// not found yet.
+		r.Tally.Inc("lagoon_fenced_total")
+		if h.Term > 0 && h.Term == r.term {
+			r.Log.Info(logs.Fenced, logs.Fields{"term": h.Term, "owner": r.owner})
+			r.owner = ""
+		}
+		signal(r.news)
+		return
+	}
 	was := r.lease.silent
 	r.lease.failed(r.Clock.Now(), false)
 	if r.lease.silent && !was {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"lagoonrack/internal/logs"
@@ -49,10 +51,22 @@
 	for _, s := range o.Starts {
 		waits = append(waits, r.begin(o, s, slots))
 	}
+	stops := make(chan work.Run, len(o.Stops))
+	var all sync.WaitGroup
 	for _, s := range o.Stops {
-		go r.stop(o, s)
+		all.Go(func() {
+			if r.stop(o, s) {
+				stops <- s
+			}
+		})
+	}
+	res := r.fates(o, waits)
+	all.Wait()
+	close(stops)
+	for s := range stops {
+		res.Stops = append(res.Stops, s)
 	}
-	return r.fates(o, waits)
+	return res
 }
 
 // refuses returns why an order is not carried out, or nothing.
@@ -121,9 +135,10 @@
 // run orders a start of the worker until its fate is known.
 func (r *Runner) run(w *order, s plat.StartRun, slots chan struct{}) {
 	slots <- struct{}{}
-	code := r.try(s)
+	code, doubt := r.try(s)
 	<-slots
-	if code == work.Unknown {
+	if doubt && code != work.Started {
+		// An earlier try may yet be carried out.
 		code = r.callOff(s)
 	}
 	r.Tally.Inc("lagoon_starts_total", "code", string(code))
@@ -140,20 +155,25 @@
 	close(w.done)
 }
 
-func (r *Runner) try(s plat.StartRun) work.Code {
+// try orders a start. Doubt says that some try got no answer.
+func (r *Runner) try(s plat.StartRun) (code work.Code, doubt bool) {
 	for range startTries {
 		if !r.valid(s) {
-			return work.Unknown
+			return work.Late, doubt
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
 		a, err := r.Runtime.Start(ctx, s)
 		cancel()
 		if err == nil {
-			return a.Code
+			return a.Code, doubt
 		}
 		r.Tally.Inc("lagoon_worker_errors_total", "step", "start")
+		doubt = doubt || !errors.Is(err, plat.ErrRefused)
 	}
-	return work.Unknown
+	if !doubt {
+		return work.Sick, false
+	}
+	return work.Unknown, true
 }
 
 // valid reports whether an order may still be sent: the term is the newest,
@@ -179,14 +199,17 @@
 	return work.Unknown
 }
 
-func (r *Runner) stop(o work.Order, s work.Run) {
+// stop ends a run, and reports whether the worker has taken that.
+func (r *Runner) stop(o work.Order, s work.Run) bool {
 	ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
 	defer cancel()
-	_, err := r.Runtime.Stop(ctx, plat.StopRun{Life: o.Life, Run: s, Term: o.Term})
+	a, err := r.Runtime.Stop(ctx, plat.StopRun{Life: o.Life, Run: s, Term: o.Term})
 	if err != nil {
 		// The owner repeats a stop until the end is listed.
 		r.Tally.Inc("lagoon_worker_errors_total", "step", "stop")
+		return false
 	}
+	return a.Code == work.Started
 }
 
 // fates collects the fates that are known in time.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -10,7 +10,8 @@
 // job is a job with the progress of its tasks.
 type job struct {
 	work.Job
-	// past is the number of occurrences, from 0 on, that are complete.
+	// past is the number of occurrences, from 0 on, that are complete and of
+	// which nothing runs any more.
 	past int
 	// occs holds the occurrences from past on that were looked at.
 	occs   []*occ
@@ -27,8 +28,6 @@
 	due    time.Duration
 	taken  time.Duration
 	listed bool
-	// unfit is when the job was last found without a place for some task.
-	unfit time.Duration
 }
 
 // occ is one occurrence of a job's steps.
@@ -79,6 +78,12 @@
 	// adopted says that the place was found by a new owner, which can't know
 	// whether the start was ordered.
 	adopted bool
+	// unsure says that more than one order to start the run may be on its way,
+	// so that a refusal of one says nothing of the others.
+	unsure bool
+	// off is when the worker had certainly taken the stop: the run does not
+	// start any more.
+	off time.Duration
 	// known says that the worker has listed the run or confirmed its start.
 	known bool
 	// void says that the run will not start any more if the worker does not
@@ -146,6 +151,31 @@
 	return true
 }
 
+// busy reports whether some run of the occurrence may be under way.
+func (o *occ) busy() bool {
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			if len(t.places) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// allDone reports whether all occurrences are complete.
+func (j *job) allDone() bool {
+	if j.past+len(j.occs) < j.Occurrences() {
+		return false
+	}
+	for _, o := range j.occs {
+		if !o.complete() {
+			return false
+		}
+	}
+	return true
+}
+
 // occ returns occurrence k, which must not be past.
 func (j *job) occ(k int, now time.Duration) *occ {
 	for len(j.occs) <= k-j.past {
@@ -168,7 +198,7 @@
 
 // state returns what is stored of the job.
 func (j *job) state() work.State {
-	st := work.State{Failed: j.failed, Ended: j.ended, Past: j.past}
+	st := work.State{Failed: j.failed, Ended: j.ended, Past: j.past, Complete: j.complete}
 	for _, o := range j.occs {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
@@ -200,7 +230,7 @@
 		}
 		c.restore(t, ts)
 	}
-	j.complete = j.past == j.Occurrences()
+	j.complete = st.Complete
 	c.settle(j)
 	j.shown = j.now()
 }
@@ -217,7 +247,7 @@
 	for _, ps := range ts.Places {
 		w := c.worker(ps.Life, ps.Agent)
 		w.until = max(w.until, c.now+c.limits.lapse())
-		p := &place{task: t, run: ps.Run, worker: w, stored: true, adopted: true, sent: c.now + 1, saved: t.saved}
+		p := &place{task: t, run: ps.Run, worker: w, stored: true, adopted: true, unsure: true, sent: c.now + 1, saved: t.saved}
 		w.add(p)
 		t.places = append(t.places, p)
 		j.places[p] = true
@@ -308,11 +338,11 @@
 // settle moves the job on after a change: complete occurrences are dropped, and
 // the new state is shown once it is stored.
 func (c *Core) settle(j *job) {
-	for len(j.occs) > 0 && j.occs[0].complete() {
+	for len(j.occs) > 0 && j.occs[0].complete() && !j.occs[0].busy() {
 		j.occs = j.occs[1:]
 		j.past++
 	}
-	if j.past == j.Occurrences() && !j.complete && !j.cancelled {
+	if j.allDone() && !j.complete && !j.cancelled {
 		j.complete = true
 		j.ended = c.clock()
 		c.emit(Note{Kind: "complete", Job: j.ID, Reason: j.Queue, Took: c.now - j.taken})
--- a/internal/sched/load.go
+++ b/internal/sched/load.go
@@ -12,9 +12,9 @@
 func (c *Core) Load() Load { return Load{} }
 
 // Shown returns the state of a job by its rows.
-func Shown(j work.Job, st work.State, cancelled bool) string {
+func Shown(st work.State, cancelled bool) string {
 	switch {
-	case st.Past >= j.Occurrences():
+	case st.Complete:
 		return "completed"
 	case cancelled:
 		return "cancelled"
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -196,7 +196,7 @@
 }
 
 // start gives a task a place on a worker, to be ordered once that is stored.
-func (c *Core) start(t *task, w *worker, run int64) *place {
+func (c *Core) start(t *task, w *worker, run int64) {
 	t.run = run
 	p := &place{task: t, run: run, worker: w, saved: t.saved}
 	if q := c.queues[t.step.job.Queue]; q.Advised {
@@ -219,7 +219,6 @@
 	c.emit(Note{Kind: "place", Task: p.name(), Run: run, Worker: w.ID, Took: c.now - t.since})
 	c.after(func() { c.ready(p) })
 	c.settle(j)
-	return p
 }
 
 // ready orders a place that is stored, unless it was given up meanwhile.
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -164,31 +164,68 @@
 	}
 	c.judge(p, how)
 	c.free(p)
+	if how != work.Done {
+		c.disband(t.step)
+	}
 	switch {
 	case how == work.Done && !t.step.Lasts:
 		c.done(t)
 	case how == work.Failed && !t.step.Lasts:
 		t.fails++
 		t.bad = append(t.bad, p.worker.ID)
-		if t.fails >= c.attempts(j) {
+		if t.step.failures(t) >= c.attempts(j) {
 			c.failJob(j)
 		}
 	}
 	c.settle(j)
 }
 
+// failures counts the failed runs of a task, or of all tasks of a gang.
+func (s *step) failures(t *task) int {
+	if !s.Gang {
+		return t.fails
+	}
+	n := 0
+	for _, x := range s.tasks {
+		n += x.fails
+	}
+	return n
+}
+
+// disband ends the other members of a gang that has lost one.
+func (c *Core) disband(s *step) {
+	if !s.Gang {
+		return
+	}
+	for _, t := range s.tasks {
+		for _, q := range slices.Clone(t.places) {
+			c.stop(q, "gang")
+		}
+	}
+}
+
 // done marks a task as ended well, and ends its other copies.
 func (c *Core) done(t *task) {
 	if t.done {
 		return
 	}
-	t.done = true
-	t.step.left--
-	t.saved = ""
-	c.touch(t.step.job)
-	for _, q := range slices.Clone(t.places) {
-		c.stop(q, "copy")
+	// One end of a gang stands for all its members.
+	all := []*task{t}
+	if t.step.Gang {
+		all = t.step.tasks
 	}
+	for _, x := range all {
+		if x.done {
+			continue
+		}
+		x.done = true
+		x.saved = ""
+		t.step.left--
+		for _, q := range slices.Clone(x.places) {
+			c.stop(q, "copy")
+		}
+	}
+	c.touch(t.step.job)
 	c.settle(t.step.job)
 }
 
@@ -237,30 +274,30 @@
 		if seen[p] {
 			continue
 		}
-		if p.adopted && p.stop == "" {
-			// A start that is ordered again has no further effect if it ran.
-			p.adopted = false
+		c.missing(p, at)
+	}
+}
+
+// missing decides on a run that the worker does not list, as of a time.
+func (c *Core) missing(p *place, at time.Duration) {
+	switch {
+	case p.off > 0 && at > p.off+margin:
+		c.vanished(p, p.stop)
+	case p.void && at > p.okay+margin:
+		c.vanished(p, "void")
+	case p.adopted && p.stop == "":
+		// A start that is ordered again has no further effect if it ran.
+		p.adopted = false
+		if p.worker.Leaving {
+			c.stop(p, "leaving")
+		} else {
 			c.order(p)
-			continue
 		}
-		if !p.known || !p.stored || at < p.okay+margin {
-			continue
-		}
-		p.unseen++
-		if p.void {
-			c.vanished(p, "void")
-			continue
-		}
-		if p.unseen < unseenLists {
-			continue
-		}
-		if p.stop == "" {
+	case p.known && p.stored && p.stop == "" && at > p.okay+margin:
+		if p.unseen++; p.unseen >= unseenLists {
 			// A stop makes certain that the run never starts.
 			c.stop(p, "vanished")
-			p.unseen = 0
-			continue
 		}
-		c.vanished(p, p.stop)
 	}
 }
 
@@ -271,6 +308,7 @@
 		p.task.saved = p.saved
 	}
 	c.free(p)
+	c.disband(p.task.step)
 	c.settle(p.task.step.job)
 }
 
@@ -318,6 +356,11 @@
 		}
 		c.fate(p, r.Code)
 	}
+	for _, r := range e.Stops {
+		if p := c.placeOf(w, r); p != nil && p.off == 0 {
+			p.off = c.now
+		}
+	}
 }
 
 func (c *Core) fate(p *place, code work.Code) {
@@ -337,20 +380,28 @@
 			p.okay = c.now
 		}
 	default:
-		if p.known {
-			return
-		}
-		c.emit(Note{Kind: "refused", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: string(code)})
-		if code == work.NoRoom || code == work.Sick {
-			p.worker.blocked = c.now + roomBlock
-		}
-		if code == work.Sick {
-			p.worker.streak++
-			p.worker.bad = c.now
-		}
-		if code == work.Ticket {
-			c.advice.forget(p)
-		}
+		c.refused(p, code)
+	}
+}
+
+// refused takes a refusal in. If another order may be on its way, the run is
+// called off before the task goes elsewhere.
+func (c *Core) refused(p *place, code work.Code) {
+	if p.known {
+		return
+	}
+	c.emit(Note{Kind: "refused", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: string(code)})
+	p.worker.blocked = c.now + roomBlock
+	switch code {
+	case work.Sick:
+		p.worker.streak++
+		p.worker.bad = c.now
+	case work.Ticket:
+		c.advice.forget(p)
+	}
+	if !p.unsure {
 		c.free(p)
+		return
 	}
+	c.stop(p, "refused")
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -145,7 +145,8 @@
 	}
 	o := c.tell(p.worker)
 	s := p.task.step
-	p.sent = c.now
+	p.unsure = p.unsure || p.sent > 0
+	p.sent = max(1, c.now)
 	if o.Specs == nil {
 		o.Specs = map[string]string{}
 	}
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -107,6 +107,9 @@
 type Results struct {
 	Life   Life     `cbor:"1,keyasint"`
 	Starts []Result `cbor:"2,keyasint,omitempty"`
+	// Stops lists the stops that the worker has taken: none of these runs
+	// starts any more.
+	Stops []Run `cbor:"4,keyasint,omitempty"`
 	// Term is the highest that the agent has seen.
 	Term uint64 `cbor:"3,keyasint"`
 }
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -8,8 +8,11 @@
 	Failed bool `cbor:"1,keyasint,omitempty"`
 	// Ended is when the job ended, in milliseconds of the store's clock, or 0.
 	Ended int64 `cbor:"2,keyasint,omitempty"`
-	// Past is the number of occurrences, from 0 on, that are complete.
+	// Past is the number of occurrences, from 0 on, that are complete and of
+	// which nothing runs any more.
 	Past int `cbor:"3,keyasint,omitempty"`
+	// Complete says that all tasks of all occurrences have ended well.
+	Complete bool `cbor:"5,keyasint,omitempty"`
 	// Tasks lists the tasks of later occurrences that were ever started.
 	Tasks []TaskState `cbor:"4,keyasint,omitempty"`
 }
