sched, leader: a waiting job starts one task; a claim under way is visible

Change: a job of which nothing runs for 1.5 s starts one task where it disturbs least; a claim under way counts as owning; the chosen successor claims at once.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -31,6 +31,8 @@
 	others time.Duration
 	// read is when the store last answered this process.
 	read time.Duration
+	// invited says that the last owner chose this process as its successor.
+	invited bool
 }
 
 // The spans of a takeover. The users' recovery bounds are above 10 s; starts
@@ -64,9 +66,12 @@
 	if w.known && w.term == t.Term && w.vacant == t.Vacant {
 		return
 	}
-	*w = Watch{known: true, term: t.Term, vacant: t.Vacant, mine: t.Mine, since: now, heard: now, others: w.others, read: now}
+	*w = Watch{known: true, term: t.Term, vacant: t.Vacant, mine: t.Mine, since: now, heard: now, others: w.others, read: now, invited: w.invited && t.Vacant}
 }
 
+// Invite notes that the owner that gives the cell up chose this process.
+func (w *Watch) Invite() { w.invited = true }
+
 // Unread says that the store gave no answer. Time in which this process could
 // not read the title does not count against its owner.
 func (w *Watch) Unread() { w.read = 0 }
@@ -103,6 +108,8 @@
 	switch {
 	case w.mine && !w.vacant:
 		return "own title"
+	case w.vacant && w.invited:
+		return "handed over"
 	case w.vacant && now-w.since >= wait:
 		return "vacant"
 	case w.denied && now-w.resigned >= wait+RankStep:
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -55,6 +55,10 @@
 	known title
 	term  *term
 	stop  bool
+	// claiming is the term that this process has claimed while it loads the
+	// state, or 0, and since when.
+	claiming uint64
+	since    time.Duration
 	// asked is signalled when the title should be read at once.
 	asked chan struct{}
 }
@@ -226,7 +230,12 @@
 }
 
 // Take asks this process to take a cell over that was given up.
-func (l *Leader) Take() { l.wake() }
+func (l *Leader) Take() {
+	l.mu.Lock()
+	l.watch.Invite()
+	l.mu.Unlock()
+	l.wake()
+}
 
 // Heard takes in the owner's answer to a ping.
 func (l *Leader) Heard(owns bool, cut time.Duration) {
@@ -267,6 +276,10 @@
 		}
 		return s
 	}
+	if l.claiming > 0 {
+		// Loading takes many calls; only what is beyond a second is an outage.
+		return Standing{Owns: l.claiming, Owner: l.Addr, Term: l.claiming, Cut: max(0, now-l.since-time.Second)}
+	}
 	return Standing{Owner: l.known.Addr, Term: l.known.Term, Age: l.watch.Age(now)}
 }
 
@@ -337,6 +350,14 @@
 	if got != mine {
 		return nil, nil
 	}
+	l.mu.Lock()
+	l.claiming, l.since = mine.Term, l.Clock.Now()
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		l.claiming = 0
+		l.mu.Unlock()
+	}()
 	_, markRow, _, err := readRow[mark](c, l.Rows, markKey)
 	if err != nil {
 		return nil, err
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -36,6 +36,17 @@
 	return w.Size.Cores - int64(servingShare*float64(w.used.Cores))
 }
 
+// hungerAfter is how long a job waits for calm workers while nothing of it
+// runs. Then one of its tasks starts where it disturbs least, and the agent
+// paces it: a job must not stand still while there is capacity. The users bear
+// 3 s.
+const hungerAfter = 1500 * time.Millisecond
+
+// hungry reports whether nothing of a task's job runs and it waited for long.
+func (c *Core) hungry(t *task) bool {
+	return len(t.step.job.places) == 0 && c.now-t.since > hungerAfter
+}
+
 // fillFits reports whether a task that fills would get what it asks for, and
 // leave the serving tasks beside it below their targets.
 func (c *Core) fillFits(s *step, w *worker) bool {
@@ -81,7 +92,7 @@
 // serving tasks are calm and that have processors left.
 func (c *Core) fillScore(s *step, w *worker) float64 {
 	x := share(s.Size.Cores, w)
-	harm := 0.0
+	harm := max(0, pressMargin-c.pressRoom(s, w))
 	for p := range w.places {
 		if q := p.task.step; q.Lasts && q.Target > 0 {
 			harm = max(harm, x*c.press.Factor(s.Image, q.Image))
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -140,7 +140,7 @@
 	if w.suspect() && !c.mayProbe(t, w) {
 		return false
 	}
-	if s.Fills {
+	if s.Fills && !c.hungry(t) {
 		return c.fillFits(s, w)
 	}
 	return true
