sched: end begun jobs first, pack by what reserves, free stalled runs

Change: packing counts only what reserves; stalled runs start anew elsewhere; begun jobs first, then those that can still end in time, then late ones.

--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -25,6 +25,8 @@
 	// goes on elsewhere. Its stop makes a checkpoint, so nothing is lost.
 	starvedShare = 0.4
 	starvedFor   = 700 * time.Millisecond
+	// stalledFor is the same for a task without checkpoints, which starts anew.
+	stalledFor = 1800 * time.Millisecond
 	// avoidFor is how long a task is kept off a worker that it was taken off.
 	avoidFor = 3 * time.Second
 	// full is the percent of a lasting task that is at work.
@@ -33,7 +35,7 @@
 
 // idle is the processor time that tasks which fill may hope for.
 func (c *Core) idle(w *worker) int64 {
-	return w.Size.Cores - int64(servingShare*float64(w.used.Cores))
+	return w.Size.Cores - int64(servingShare*float64(w.solid.Cores))
 }
 
 // hungerAfter is how long a job waits for calm workers while nothing of it
@@ -119,7 +121,11 @@
 func (c *Core) relieve(w *worker) {
 	for _, p := range sorted(w.places) {
 		s := p.task.step
-		if p.starved == 0 || p.stop != "" || !s.Saves || s.Gang || c.now-p.starved < starvedFor || c.now-p.okay < starvedFor {
+		patience := starvedFor
+		if !s.Saves {
+			patience = stalledFor
+		}
+		if p.starved == 0 || p.stop != "" || s.Gang || c.now-max(p.starved, p.okay) < patience {
 			continue
 		}
 		p.task.left, p.task.leftAt = w.ID, c.now
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -23,11 +23,13 @@
 	// ended is when the job ended, in milliseconds of the store's clock.
 	ended int64
 	// shown is the state that is stored and may be told.
-	shown  string
-	dirty  bool
-	due    time.Duration
-	taken  time.Duration
-	listed bool
+	shown string
+	dirty bool
+	// due is the objective, and rank the place among jobs of one priority.
+	due  time.Duration
+	rank int
+	// taken is when the job was accepted, by the owner's clock.
+	taken time.Duration
 }
 
 // occ is one occurrence of a job's steps.
@@ -254,11 +256,19 @@
 	}
 }
 
+// takenAt returns when a job was accepted, by the owner's clock.
+func (c *Core) takenAt(spec work.Job) time.Duration {
+	at := time.Duration(spec.At)*time.Millisecond - c.ahead
+	if spec.At == 0 || at > c.now {
+		return c.now
+	}
+	return at
+}
+
 // enter adds a job to the tables.
 func (c *Core) enter(spec work.Job) *job {
-	j := &job{Job: spec, places: map[*place]bool{}, shown: "queued", taken: c.now}
+	j := &job{Job: spec, places: map[*place]bool{}, shown: "queued", taken: c.takenAt(spec)}
 	c.jobs[j.ID] = j
-	j.listed = true
 	c.active = append(c.active, j)
 	return j
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -32,37 +33,95 @@
 	return longest
 }
 
+// remaining is the longest chain of expected run times that is left.
+func (c *Core) remaining(j *job) time.Duration {
+	if len(j.occs) == 0 {
+		return c.chain(j)
+	}
+	var longest time.Duration
+	o := j.occs[0]
+	ends := make([]time.Duration, len(j.Steps))
+	for i, s := range o.steps {
+		var from time.Duration
+		for _, a := range s.After {
+			from = max(from, ends[a])
+		}
+		ends[i] = from + c.rest(j, s)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// rest is the expected time until the last task of a step ends, if the waiting
+// ones start now.
+func (c *Core) rest(j *job, s *step) time.Duration {
+	if s.left == 0 {
+		return 0
+	}
+	whole := c.learned.estimate(j.Queue, s.Step)
+	var longest time.Duration
+	for _, t := range s.tasks {
+		left := whole
+		for _, p := range t.places {
+			left = whole * time.Duration(full-min(full, p.percent)) / full
+		}
+		if !t.done {
+			longest = max(longest, left)
+		}
+	}
+	return longest
+}
+
+// The ranks of jobs of one priority. Under overload the earliest due time alone
+// would serve each job just too late, so a job that was begun is ended first
+// and one that can't end in time any more goes behind those that can.
+const (
+	rankBegun = iota
+	rankWaits
+	rankLate
+	rankHopeless
+)
+
+// lateFactor is how many times its objective a job may take to be worth
+// anything.
+const lateFactor = 3
+
+func (c *Core) rank(j *job) int {
+	if j.lasting() || j.Times > 0 {
+		return rankBegun
+	}
+	end := c.now + c.remaining(j)
+	switch {
+	case end > j.taken+lateFactor*(j.due-j.taken):
+		return rankHopeless
+	case end > j.due:
+		return rankLate
+	case j.begun:
+		return rankBegun
+	}
+	return rankWaits
+}
+
 // ranked returns the active jobs in the order in which they are served: by the
-// queue's priority, those that can still meet their objective first, by time.
+// queue's priority, by rank, by due time.
 func (c *Core) ranked() []*job {
 	out := make([]*job, 0, len(c.active))
 	for _, j := range c.active {
 		if j.over() {
 			continue
 		}
-		if j.due == 0 {
-			j.due = c.objective(j)
-		}
+		j.due = c.objective(j)
+		j.rank = c.rank(j)
 		out = append(out, j)
 	}
 	slices.SortStableFunc(out, func(a, b *job) int {
-		if x, y := c.queues[a.Queue].Priority, c.queues[b.Queue].Priority; x != y {
-			return x - y
-		}
-		if x, y := c.isLate(a), c.isLate(b); x != y {
-			return x - y
-		}
-		return int(a.due - b.due)
+		return cmp.Or(
+			cmp.Compare(c.queues[a.Queue].Priority, c.queues[b.Queue].Priority),
+			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(a.due, b.due),
+		)
 	})
 	return out
 }
 
-// isLate is 1 for a job that can't meet its objective any more.
-func (c *Core) isLate(j *job) int {
-	if !j.lasting() && c.now > j.due {
-		return 1
-	}
-	return 0
-}
-
 func (j *job) lasting() bool { return j.Steps[0].Lasts }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -184,7 +184,7 @@
 	} else {
 		// The fullest comes first, so that some workers stay without serving
 		// tasks and what fills disturbs nobody there.
-		v = w.used.Add(s.Reserved()).Load(w.Size)
+		v = w.solid.Add(s.Size).Load(w.Size)
 	}
 	if s.Near != "" && w.has(s.Near) {
 		v += nearWeight
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -19,6 +19,8 @@
 	// that those ask for which use what is left.
 	used vect.Size
 	fill int64
+	// solid is what the places take that don't fill.
+	solid vect.Size
 	// refilled is when the set of tasks that fill changed last.
 	refilled time.Duration
 	// heard is when the last report came, and until is after the end of every
@@ -90,6 +92,8 @@
 	w.used = w.used.Add(s.Reserved())
 	if s.Fills {
 		w.fill += s.Size.Cores
+	} else {
+		w.solid = w.solid.Add(s.Size)
 	}
 }
 
@@ -103,6 +107,8 @@
 	w.used = w.used.Sub(s.Reserved())
 	if s.Fills {
 		w.fill -= s.Size.Cores
+	} else {
+		w.solid = w.solid.Sub(s.Size)
 	}
 }
 
