--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -74,6 +74,11 @@
 		}
 		found.States[r.Key[len(sched.StatePrefix):]] = st
 	}
+	learned, _, err := rows.Read(ctx, sched.LearnedKey)
+	if err != nil {
+		return found, plat.Stamp{}, err
+	}
+	found.Learned = learned.Value
 	jobs, stamp, err := rows.List(ctx, table(sched.JobPrefix))
 	if err != nil {
 		return found, stamp, err
--- a/internal/press/press.go
+++ b/internal/press/press.go
@@ -245,3 +245,34 @@
 	}
 	return out
 }
+
+// Saved is the stored form of what was learned of pairs.
+type Saved struct {
+	Pairs []SavedPair        `cbor:"1,keyasint"`
+	Bases map[string]float64 `cbor:"2,keyasint"`
+}
+
+// SavedPair is the stored form of one pair.
+type SavedPair struct {
+	_              struct{} `cbor:",toarray"`
+	Fill, Serve    string
+	Mean, Variance float64
+}
+
+// Save returns what was learned of pairs; loads change too fast to be kept.
+func (t *Table) Save() Saved {
+	s := Saved{Bases: t.bases}
+	for k, g := range t.pairs {
+		s.Pairs = append(s.Pairs, SavedPair{Fill: k.fill, Serve: k.serve, Mean: g.mean, Variance: g.variance})
+	}
+	return s
+}
+
+// Load takes over what another table saved.
+func (t *Table) Load(s Saved) {
+	t.pairs = map[pair]*guess{}
+	for _, p := range s.Pairs {
+		t.pairs[pair{p.Fill, p.Serve}] = &guess{p.Mean, p.Variance}
+	}
+	t.bases = s.Bases
+}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -63,6 +63,8 @@
 	press   press.Table
 	advice  advisor
 	purged  time.Duration
+	// saved is when what was learned was stored last.
+	saved time.Duration
 }
 
 // Found is what a new owner reads from the store.
@@ -70,6 +72,8 @@
 	Jobs    []work.Job
 	States  map[string]work.State
 	Cancels []string
+	// Learned is what the last owner left.
+	Learned []byte
 }
 
 // New returns the core of an owner that took the cell over at time now. Ahead
@@ -87,6 +91,7 @@
 		moved:   true,
 	}
 	c.configure(config)
+	c.remember(found.Learned)
 	for _, j := range found.Jobs {
 		c.load(j, found.States[j.ID])
 	}
@@ -202,6 +207,14 @@
 		w = append(w, plat.Write{Key: c.drops[0]})
 		c.drops = c.drops[1:]
 	}
+	if c.now-c.saved >= learnedEvery {
+		c.saved = c.now
+		if data, err := work.Encode(learnedRow{Queues: c.learned.queues, Press: c.press.Save()}); err == nil {
+			w = append(w, plat.Write{Key: LearnedKey, Value: data})
+		} else {
+			c.emit(Note{Kind: "unsaved", Reason: err.Error()})
+		}
+	}
 	c.seq++
 	c.inflight = true
 	if len(c.dirty) == 0 {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -58,6 +58,8 @@
 	fails  int
 	saved  string
 	places []*place
+	// work is how long the task has worked, at full speed.
+	work time.Duration
 	// left is the worker that the task was taken off last, and leftAt when.
 	left   string
 	leftAt time.Duration
@@ -95,6 +97,8 @@
 	stop     string
 	stopSent time.Duration
 	percent  int
+	// worked is until when the run's work is counted.
+	worked time.Duration
 	// moved is when the percent changed last.
 	moved  time.Duration
 	saved  string
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -17,7 +17,8 @@
 	return j.taken + time.Duration(stretch*float64(chain)) + time.Duration(q.Target)*time.Millisecond
 }
 
-// chain is the longest chain of expected run times.
+// chain is the longest chain of work that is to be expected, by what is known
+// of the tasks that ran.
 func (c *Core) chain(j *job) time.Duration {
 	var longest time.Duration
 	ends := make([]time.Duration, len(j.Steps))
@@ -27,12 +28,32 @@
 		for _, a := range s.After {
 			from = max(from, ends[a])
 		}
-		ends[i] = from + c.learned.estimate(j.Queue, s)
+		whole := c.length(j, s)
+		if len(j.occs) > 0 {
+			whole = c.wholeOf(j.occs[0].steps[i], whole)
+		}
+		ends[i] = from + whole
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// wholeOf is the expected work of the longest task of a step that may be under
+// way.
+func (c *Core) wholeOf(s *step, length time.Duration) time.Duration {
+	var longest time.Duration
+	open := false
+	for _, t := range s.tasks {
+		whole, _ := c.expected(t, 0)
+		longest = max(longest, whole)
+		open = open || !t.done && whole == 0
+	}
+	if open {
+		longest = max(longest, length)
+	}
+	return longest
+}
+
 // remaining is the longest chain of expected run times that is left.
 func (c *Core) remaining(j *job) time.Duration {
 	if len(j.occs) == 0 {
@@ -58,16 +79,11 @@
 	if s.left == 0 {
 		return 0
 	}
-	whole := c.learned.estimate(j.Queue, s.Step)
+	length := c.length(j, s.Step)
 	var longest time.Duration
 	for _, t := range s.tasks {
-		left := whole
-		for _, p := range t.places {
-			left = whole * time.Duration(full-min(full, p.percent)) / full
-		}
-		if !t.done {
-			longest = max(longest, left)
-		}
+		_, left := c.expected(t, length)
+		longest = max(longest, left)
 	}
 	return longest
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -244,7 +244,11 @@
 	switch how {
 	case work.Done:
 		w.streak, w.good = 0, c.now
-		c.learned.run(p, c.now)
+		if p.task.step.Lasts {
+			return
+		}
+		c.advance(p)
+		c.learned.ended(p.task.step.job.Queue, p.task.step.Step, p.task.work)
 	case work.Failed:
 		w.streak++
 		w.bad = c.now
@@ -328,6 +332,7 @@
 		p.moved = c.now
 	}
 	p.figure = r.Figure
+	c.advance(p)
 	c.starve(p)
 }
 
