--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -97,7 +97,7 @@
 	doubt := false
 	for {
 		c, cancel := context.WithTimeout(ctx, tryTimeout)
-		s, err := f.Rows.Commit(c, txn)
+		s, err := f.commit(c, txn)
 		cancel()
 		switch {
 		case err == nil:
@@ -179,7 +179,7 @@
 	}
 	for {
 		c, cancel := context.WithTimeout(ctx, tryTimeout)
-		row, _, err := f.Rows.Read(c, sched.JobKey(id))
+		row, err := f.read(c, sched.JobKey(id))
 		cancel()
 		if err == nil {
 			return row.Version != 0, nil
@@ -241,12 +241,12 @@
 func (f *Front) readState(ctx context.Context, id string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	row, _, err := f.Rows.Read(ctx, sched.JobKey(id))
+	row, err := f.read(ctx, sched.JobKey(id))
 	if err != nil || row.Version == 0 {
 		return "", err
 	}
 	var st work.State
-	if row, _, err = f.Rows.Read(ctx, sched.StateKey(id)); err != nil {
+	if row, err = f.read(ctx, sched.StateKey(id)); err != nil {
 		return "", err
 	}
 	if row.Version != 0 {
@@ -254,7 +254,7 @@
 			return "", fault.At("decode state", id).Wrap(err)
 		}
 	}
-	row, _, err = f.Rows.Read(ctx, sched.CancelKey(id))
+	row, err = f.read(ctx, sched.CancelKey(id))
 	if err != nil {
 		return "", err
 	}
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -74,11 +74,9 @@
 
 // owner is a core with what is under way for it.
 type owner struct {
-	core   *sched.Core
-	term   uint64
-	commit *sched.Commit
-	at     time.Duration
-	dead   bool
+	core *sched.Core
+	term uint64
+	dead bool
 }
 
 type world struct {
@@ -170,7 +168,9 @@
 	found := sched.Found{States: map[string]work.State{}}
 	for _, k := range slices.Sorted(maps.Keys(w.rows)) {
 		v := w.rows[k]
-		if id, ok := sched.CancelOf(k); ok {
+		if k == sched.LearnedKey {
+			found.Learned = v
+		} else if id, ok := sched.CancelOf(k); ok {
 			found.Cancels = append(found.Cancels, id)
 		} else if len(k) > len(sched.StatePrefix) && k[:len(sched.StatePrefix)] == sched.StatePrefix {
 			var st work.State
