--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"strconv"
 	"syscall"
 
@@ -80,7 +81,7 @@
 	if err := writePid(c.String("pid")); err != nil {
 		return err
 	}
-	return d.run(ctx, s, os.Stdout)
+	return d.run(ctx, c, s, os.Stdout)
 }
 
 func writePid(file string) error {
@@ -90,7 +91,7 @@
 	return os.WriteFile(file, []byte(strconv.Itoa(os.Getpid())+"\n"), 0o600)
 }
 
-func (d Daemon) run(ctx context.Context, s proc.Settings, out io.Writer) error {
+func (d Daemon) run(ctx context.Context, c *cli.Command, s proc.Settings, out io.Writer) error {
 	log, err := logs.New(out, s.Log.Format, s.Log.Level, s.Name)
 	if err != nil {
 		return err
@@ -100,7 +101,28 @@
 		log.Error(logs.Failed, err, nil)
 		return err
 	}
-	<-ctx.Done()
+	d.serve(ctx, c.String("settings"), s, log)
 	stop()
 	return nil
 }
+
+// serve waits for the planned stop. A hangup tells that the settings file has
+// changed; it is read and checked, and what it says counts from the next start.
+func (d Daemon) serve(ctx context.Context, file string, s proc.Settings, log logs.Log) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			next, err := proc.Read(file, d.Role)
+			if err != nil {
+				log.Error(logs.Unread, err, nil)
+				continue
+			}
+			log.Info(logs.Reread, logs.Fields{"changed": !reflect.DeepEqual(next, s)})
+		}
+	}
+}
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -21,6 +21,8 @@
 	StoreUp      = Event{106, "store answers again", "The outage of the platform's service is over."}
 	PeerLost     = Event{107, "peer gives no answer", "A call between two processes failed."}
 	PeerFound    = Event{108, "peer answers", "Another entry answers for the first time or again."}
+	Reread       = Event{109, "settings file read again", "The process was told that its settings file has changed. What it says counts from the next start."}
+	Unread       = Event{110, "settings file refused", "The changed settings file can't be used; the process goes on with what it has."}
 	Retried      = Event{201, "request sent again", "An attempt ended without an answer and the request may go elsewhere."}
 	Hedged       = Event{202, "request sent twice", "An idempotent request was slow and a second attempt was sent."}
 	Ejected      = Event{203, "minion ejected", "A minion failed several requests in a row and gets nothing for a while."}
@@ -52,7 +54,7 @@
 // All returns every event in order of its number.
 func All() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, StoreDown, StoreUp, PeerLost, PeerFound,
+		Started, Stopping, Stopped, Failed, StoreDown, StoreUp, PeerLost, PeerFound, Reread, Unread,
 		Retried, Hedged, Ejected, Silent, Answered,
 		Accepted, Rejected, Doubtful, Withdrawn,
 		Owned, Deposed, Released, Decided, Snapshot,
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -68,8 +68,6 @@
 	Lease    unit.Span `yaml:"lease" doc:"How long a worker goes on without a renewal by its agent."`
 	Trust    unit.Span `yaml:"trust" doc:"How long an agent renews without a word from the owner."`
 	Keep     unit.Span `yaml:"keep" doc:"How long an ended job can be asked for."`
-	Grace    unit.Span `yaml:"grace" doc:"How long a worker takes to stop a task."`
-	Early    unit.Span `yaml:"early" doc:"How long before its due time an occurrence of a job may start."`
 }
 
 // Stand is what a stand-in platform offers.
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -186,7 +186,7 @@
 			found.Jobs = append(found.Jobs, j)
 		}
 	}
-	l := sched.Limits{Lease: lease, Trust: trust, Grace: 100 * time.Millisecond}
+	l := sched.Limits{Lease: lease, Trust: trust}
 	o := &owner{core: sched.New(l, w.title, w.now, 0, found, w.config()), term: w.title}
 	w.owners = append(w.owners, o)
 	w.note("owner %d", o.term)
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -9,10 +9,6 @@
 	Lease, Trust time.Duration
 	// Keep is how long an ended job can be asked for.
 	Keep time.Duration
-	// Grace is how long a worker takes to stop a run.
-	Grace time.Duration
-	// Early is how long before its due time an occurrence may start.
-	Early time.Duration
 }
 
 const (
@@ -23,7 +19,6 @@
 	defaultTrust = 6 * time.Second
 	// defaultKeep is above the two minutes that the users ask for.
 	defaultKeep  = 150 * time.Second
-	defaultGrace = time.Second
 	// drift bounds how much slower than the owner's a worker's clock may run.
 	drift = 0.02
 	// margin covers the time that a message is under way beyond what its
@@ -43,7 +38,6 @@
 	l.Lease = or(l.Lease, defaultLease)
 	l.Trust = or(l.Trust, defaultTrust)
 	l.Keep = or(l.Keep, defaultKeep)
-	l.Grace = or(l.Grace, defaultGrace)
 	return l
 }
 
