--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -18,7 +18,7 @@
 	// defaultTrust bridges a takeover and a short loss of all entries.
 	defaultTrust = 6 * time.Second
 	// defaultKeep is above the two minutes that the users ask for.
-	defaultKeep  = 150 * time.Second
+	defaultKeep = 150 * time.Second
 	// drift bounds how much slower than the owner's a worker's clock may run.
 	drift = 0.02
 	// margin covers the time that a message is under way beyond what its
