--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -29,8 +29,10 @@
 	isCut bool
 	// others is when another process last heard the owner.
 	others time.Duration
-	// read is when the store last answered this process.
-	read time.Duration
+	// read is when the store last answered this process, and readable says that
+	// it has given every answer since.
+	read     time.Duration
+	readable bool
 	// invited says that the last owner chose this process as its successor.
 	invited bool
 }
@@ -62,11 +64,11 @@
 
 // Read takes in the title as it was read.
 func (w *Watch) Read(now time.Duration, t Title) {
-	w.read = now
+	w.read, w.readable = now, true
 	if w.known && w.term == t.Term && w.vacant == t.Vacant {
 		return
 	}
-	*w = Watch{known: true, term: t.Term, vacant: t.Vacant, mine: t.Mine, since: now, heard: now, others: w.others, read: now, invited: w.invited && t.Vacant}
+	*w = Watch{known: true, term: t.Term, vacant: t.Vacant, mine: t.Mine, since: now, heard: now, others: w.others, read: now, readable: true, invited: w.invited && t.Vacant}
 }
 
 // Invite notes that the owner that gives the cell up chose this process.
@@ -74,7 +76,7 @@
 
 // Unread says that the store gave no answer. Time in which this process could
 // not read the title does not count against its owner.
-func (w *Watch) Unread() { w.read = 0 }
+func (w *Watch) Unread() { w.readable = false }
 
 // Heard takes in an answer of the process that the title names: whether it
 // owns the cell, and for how long the store has given it no answer.
@@ -102,7 +104,7 @@
 // claim the cell now, or nothing.
 func (w *Watch) Claim(now time.Duration, rank int) string {
 	wait := time.Duration(rank) * RankStep
-	if !w.known || w.read == 0 || now-w.read > freshRead {
+	if !w.known || !w.readable || now-w.read > freshRead {
 		return ""
 	}
 	switch {
