front: while the store gives no answer, callers are sent away at once

Logs show the store silent from 8.4 s; each hand-in was written, got no answer and was held until its client's deadline. Ruled out: refusing after an unanswered write, which would be untrue.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,8 +56,8 @@
 	apply   sync.Mutex
 	// gauge measures the store's clock: how far it is ahead of this process's.
 	gauge atomic.Int64
-	// turned is when the store last turned this entry away, or 0.
-	turned atomic.Int64
+	// turned says that the store has not answered since it failed a call.
+	turned atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -17,8 +17,8 @@
 const (
 	// relayTimeout bounds one relayed call.
 	relayTimeout = 500 * time.Millisecond
-	// awayFor is how long after a refusal the other entries are asked first.
-	awayFor = 400 * time.Millisecond
+	// probePause is the wait between two tests whether the store is back.
+	probePause = 100 * time.Millisecond
 	// relayTries is the number of entries that are asked for one call.
 	relayTries = 2
 )
@@ -63,37 +63,62 @@
 
 // Commit makes a transaction for another entry.
 func (p *Peer) Commit(txn plat.Txn, out *Relayed) error {
+	if p.front.away() {
+		*out = Relayed{Code: codeRefused}
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(p.front.ctx, relayTimeout)
 	defer cancel()
 	s, err := p.front.Rows.Commit(ctx, txn)
+	p.front.tried(err)
 	*out = Relayed{Stamp: s, Code: codeOf(err)}
 	return nil
 }
 
 // Read reads a row for another entry.
 func (p *Peer) Read(key string, out *Relayed) error {
+	if p.front.away() {
+		*out = Relayed{Code: codeRefused}
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(p.front.ctx, relayTimeout)
 	defer cancel()
 	row, s, err := p.front.Rows.Read(ctx, key)
+	p.front.tried(err)
 	*out = Relayed{Row: row, Stamp: s, Code: codeOf(err)}
 	return nil
 }
 
-// away reports whether the store turned this entry away a moment ago.
-func (f *Front) away() bool {
-	at := time.Duration(f.turned.Load())
-	return at > 0 && f.Clock.Now()-at < awayFor
-}
+// away reports whether the store gave this entry no answer, or turned it away,
+// since it last answered.
+func (f *Front) away() bool { return f.turned.Load() }
 
 // tried notes how the store answered a call.
 func (f *Front) tried(err error) {
-	switch {
-	case err == nil || errors.Is(err, plat.ErrConflict):
-		if f.turned.Swap(0) > 0 {
-			f.Log.Info(logs.StoreUp, nil)
+	if err == nil || errors.Is(err, plat.ErrConflict) || f.ctx.Err() != nil {
+		return
+	}
+	if !f.turned.Swap(true) {
+		f.Log.Info(logs.StoreAway, logs.Fields{"error": err.Error()})
+		f.loops.Go(func() { f.loopProbe(f.ctx) })
+	}
+}
+
+// loopProbe reads a row until the store answers again. Callers meanwhile are
+// served through other entries or sent away at once: no call of theirs is left
+// in doubt for the sake of a test.
+func (f *Front) loopProbe(ctx context.Context) {
+	began := f.Clock.Now()
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, relayTimeout)
+		_, _, err := f.Rows.Read(c, f.Key)
+		cancel()
+		if err == nil {
+			f.turned.Store(false)
+			f.Log.Info(logs.StoreUp, logs.Fields{"ms": (f.Clock.Now() - began).Milliseconds()})
+			return
 		}
-	default:
-		f.turned.Store(int64(max(1, f.Clock.Now())))
+		f.wait(ctx, probePause)
 	}
 }
 
@@ -108,12 +133,8 @@
 	if !errors.Is(err, plat.ErrRefused) {
 		return s, err
 	}
-	r, rerr := f.relay(ctx, "Commit", txn)
-	if errors.Is(rerr, plat.ErrRefused) {
-		// Nobody could be asked; the next try goes to the store.
-		f.turned.Store(0)
-	}
-	return r.Stamp, rerr
+	r, err := f.relay(ctx, "Commit", txn)
+	return r.Stamp, err
 }
 
 // read reads a row, itself or through another entry.
@@ -126,9 +147,6 @@
 		}
 	}
 	r, err := f.relay(ctx, "Read", key)
-	if err != nil {
-		f.turned.Store(0)
-	}
 	return r.Row, err
 }
 
