sched, store: rows of jobs in sixteen parts

Change: a job's rows lie in the part of its first digit; a new owner reads the parts beside one another; rows that nobody needs go in transactions of their own.

--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -41,6 +41,8 @@
 			delete(t.tokens, f.Token)
 			ch <- f.Reply
 		}
+	case sched.Forget:
+		go l.forget(t, f)
 	case sched.Ask:
 		go l.ask(t, f)
 	case sched.Note:
@@ -105,6 +107,20 @@
 	}
 }
 
+// forget removes rows that nobody needs. What fails is left over: it costs a
+// little room, and the next owner removes it.
+func (l *Leader) forget(t *term, f sched.Forget) {
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	var writes []plat.Write
+	for _, k := range f.Keys {
+		writes = append(writes, plat.Write{Key: k})
+	}
+	if _, err := l.Rows.Commit(ctx, plat.Txn{Writes: writes}); err != nil {
+		l.failed("forget", err)
+	}
+}
+
 func (l *Leader) ask(t *term, f sched.Ask) {
 	a, err := l.Ask(f.Step, f.Workers)
 	if err != nil {
@@ -254,9 +270,9 @@
 func (l *Leader) follow(t *term) {
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
-	rows, s, err := l.Rows.Feed(ctx, table(sched.JobPrefix), t.from, 0)
+	rows, s, err := l.Rows.Feed(ctx, sched.JobTable, t.from, 0)
 	if errors.Is(err, plat.ErrForgotten) {
-		rows, s, err = l.Rows.List(ctx, table(sched.JobPrefix))
+		rows, s, err = l.Rows.List(ctx, sched.JobTable)
 	}
 	if err != nil {
 		l.failed("follow jobs", err)
--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -57,13 +57,10 @@
 	return plat.Write{Key: key, Value: data}, err
 }
 
-// table is the name of the part of the store that a prefix stands for.
-func table(prefix string) string { return prefix[:len(prefix)-1] }
-
 // load reads all that a new owner has to know.
 func load(ctx context.Context, rows plat.Rows) (sched.Found, plat.Stamp, error) {
 	found := sched.Found{States: map[string]work.State{}}
-	states, _, err := rows.List(ctx, table(sched.StatePrefix))
+	states, _, err := rows.List(ctx, sched.StateTable)
 	if err != nil {
 		return found, plat.Stamp{}, err
 	}
@@ -72,14 +69,15 @@
 		if err := work.Decode(r.Value, &st); err != nil {
 			return found, plat.Stamp{}, err
 		}
-		found.States[r.Key[len(sched.StatePrefix):]] = st
+		_, _, id := plat.SplitKey(r.Key)
+		found.States[id] = st
 	}
 	learned, _, err := rows.Read(ctx, sched.LearnedKey)
 	if err != nil {
 		return found, plat.Stamp{}, err
 	}
 	found.Learned = learned.Value
-	jobs, stamp, err := rows.List(ctx, table(sched.JobPrefix))
+	jobs, stamp, err := rows.List(ctx, sched.JobTable)
 	if err != nil {
 		return found, stamp, err
 	}
--- a/internal/plat/rows.go
+++ b/internal/plat/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 )
 
@@ -22,13 +23,28 @@
 	Now time.Duration
 }
 
-// Rows is a transactional store of rows with a feed of changes. Keys have the
-// form TABLE/NAME. Errors are ErrConflict, ErrRefused, ErrForgotten, or leave
+// Key returns the key of a row. The rows of one transaction share a part.
+func Key(table, part, name string) string {
+	if part == "" {
+		return table + "/" + name
+	}
+	return table + "@" + part + "/" + name
+}
+
+// SplitKey is the inverse of Key.
+func SplitKey(key string) (table, part, name string) {
+	head, name, _ := strings.Cut(key, "/")
+	table, part, _ = strings.Cut(head, "@")
+	return table, part, name
+}
+
+// Rows is a transactional store of rows with a feed of changes. Errors are ErrConflict, ErrRefused, ErrForgotten, or leave
 // open whether a commit took effect.
 type Rows struct {
 	// Read returns one row. A row that does not exist has version 0.
 	Read func(ctx context.Context, key string) (Row, Stamp, error)
-	// List returns all rows of a table as of one moment or later.
+	// List returns all rows of a table, over all its parts. Changes after the
+	// stamp may be missing or not.
 	List func(ctx context.Context, table string) ([]Row, Stamp, error)
 	// Feed returns the rows of a table that changed after a version, oldest
 	// first, and waits for one. A row that was removed has no value.
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"lagoonrack/internal/plat"
 	"lagoonrack/internal/sched"
 	"lagoonrack/internal/vect"
 	"lagoonrack/internal/work"
@@ -172,12 +173,12 @@
 			found.Learned = v
 		} else if id, ok := sched.CancelOf(k); ok {
 			found.Cancels = append(found.Cancels, id)
-		} else if len(k) > len(sched.StatePrefix) && k[:len(sched.StatePrefix)] == sched.StatePrefix {
+		} else if table, _, id := plat.SplitKey(k); table == sched.StateTable {
 			var st work.State
 			if err := work.Decode(v, &st); err != nil {
 				w.t.Fatal(err)
 			}
-			found.States[k[len(sched.StatePrefix):]] = st
+			found.States[id] = st
 		} else {
 			var j work.Job
 			if err := work.Decode(v, &j); err != nil {
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -235,26 +235,30 @@
 	}
 }
 
-// Keys of the rows of a cell.
+// Tables of the rows of a cell. Jobs are divided into parts by their first digit,
+// because the store carries the transactions of one part out one after another:
+// while it is slow, acceptances must not queue behind one another or behind the
+// owner's commits.
 const (
-	JobPrefix   = "jobs/"
-	StatePrefix = "state/"
+	JobTable   = "jobs"
+	StateTable = "state"
 	// cancelled ends the key of the row that withdraws a job.
 	cancelled = "/cancel"
 )
 
 // JobKey is the key of the row that accepts a job.
-func JobKey(id string) string { return JobPrefix + id }
+func JobKey(id string) string { return plat.Key(JobTable, id[:min(1, len(id))], id) }
 
 // StateKey is the key of the row that holds a job's progress.
-func StateKey(id string) string { return StatePrefix + id }
+func StateKey(id string) string { return plat.Key(StateTable, "", id) }
 
 // CancelKey is the key of the row that withdraws a job.
-func CancelKey(id string) string { return JobPrefix + id + cancelled }
+func CancelKey(id string) string { return JobKey(id) + cancelled }
 
 // CancelOf returns the job that the row with the key withdraws, if it does.
 func CancelOf(key string) (string, bool) {
-	return strings.CutSuffix(strings.TrimPrefix(key, JobPrefix), cancelled)
+	_, _, name := plat.SplitKey(key)
+	return strings.CutSuffix(name, cancelled)
 }
 
 // purgeEvery is how often ended jobs are looked for that can be forgotten.
@@ -272,10 +276,12 @@
 			continue
 		}
 		delete(c.jobs, id)
-		c.drops = append(c.drops, JobKey(id), StateKey(id))
+		c.drops = append(c.drops, StateKey(id))
+		keys := []string{JobKey(id)}
 		if j.cancelled {
-			c.drops = append(c.drops, CancelKey(id))
+			keys = append(keys, CancelKey(id))
 		}
+		c.emit(Forget{Keys: keys})
 	}
 }
 
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -62,6 +62,9 @@
 	Writes []plat.Write
 }
 
+// Forget removes rows of one part that nobody needs any more.
+type Forget struct{ Keys []string }
+
 // Send passes an order to an agent.
 type Send struct {
 	Agent string
@@ -93,6 +96,7 @@
 }
 
 func (Commit) effect() {}
+func (Forget) effect() {}
 func (Send) effect()   {}
 func (Reply) effect()  {}
 func (Ask) effect()    {}
