sink, traces, lagoonctl: logs that block nobody, and causes read from them

Cause: lines were written to standard output under the owner's lock; an engineer had to put the lines of fourteen processes in order by hand.

--- a/internal/ctlcmd/why.go
+++ b/internal/ctlcmd/why.go
@@ -4,17 +4,20 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"lagoonrack/internal/api"
 	"lagoonrack/internal/ledger"
+	"lagoonrack/internal/traces"
 )
 
 func whyCommand() *cli.Command {
 	return command("why", "print what happened and why, in order", "job/NAME | task/NAME/INDEX | worker/NAME | request/ID", runWhy,
-		entryFlag(), outputFlag())
+		entryFlag(), outputFlag(),
+		&cli.StringSliceFlag{Name: "logs", Usage: "read the logs in `FILE` instead of asking an entry; - is standard input, and it may be repeated"})
 }
 
 func runWhy(ctx context.Context, c *cli.Command) error {
@@ -26,6 +29,9 @@
 	if !ok || name == "" {
 		return usagef("why: %q is not job/NAME, task/NAME/INDEX, worker/NAME or request/ID", arg)
 	}
+	if files := c.StringSlice("logs"); len(files) > 0 {
+		return whyLogs(c, kind, name, files)
+	}
 	cl, err := client(c)
 	if err != nil {
 		return err
@@ -50,6 +56,38 @@
 	return show(c, out, func(w io.Writer) { printWhy(w, out) })
 }
 
+// whyLogs explains a job, which its caller may know as a request, from logs.
+func whyLogs(c *cli.Command, kind, name string, files []string) error {
+	if kind != "job" && kind != "request" {
+		return usagef("why --logs: %s/%s is not job/ID or request/ID", kind, name)
+	}
+	var all []traces.Line
+	for _, f := range files {
+		lines, err := readLog(f)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	t, ok := traces.Of(all, name)
+	if !ok {
+		return fmt.Errorf("why: no line of these logs names %q", name)
+	}
+	return show(c, t, func(w io.Writer) { t.Print(w) })
+}
+
+func readLog(file string) ([]traces.Line, error) {
+	if file == "-" {
+		return traces.Read(os.Stdin)
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	return traces.Read(f)
+}
+
 // ofTask keeps the records that concern one task of a job.
 func ofTask(all []ledger.Record, index int) []ledger.Record {
 	var out []ledger.Record
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"lagoonrack/internal/build"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/proc"
+	"lagoonrack/internal/sink"
 )
 
 // Daemon describes a long-running program.
@@ -92,7 +93,9 @@
 }
 
 func (d Daemon) run(ctx context.Context, c *cli.Command, s proc.Settings, out io.Writer) error {
-	log, err := logs.New(out, s.Log.Format, s.Log.Level, s.Name)
+	lines := sink.New(out)
+	defer lines.Close()
+	log, err := logs.New(lines, s.Log.Format, s.Log.Level, s.Name)
 	if err != nil {
 		return err
 	}
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -24,6 +24,7 @@
 	Reread       = Event{109, "settings file read again", "The process was told that its settings file has changed. What it says counts from the next start."}
 	Unread       = Event{110, "settings file refused", "The changed settings file can't be used; the process goes on with what it has."}
 	StoreAway    = Event{111, "store away", "The store failed a call of an entry. Callers are served through other entries or sent away until it answers."}
+	LinesLost    = Event{112, "log lines dropped", "The log's reader was too slow or its budget used up; so many lines are missing here."}
 	Retried      = Event{201, "request sent again", "An attempt ended without an answer and the request may go elsewhere."}
 	Hedged       = Event{202, "request sent twice", "An idempotent request was slow and a second attempt was sent."}
 	Ejected      = Event{203, "minion ejected", "A minion failed several requests in a row and gets nothing for a while."}
@@ -55,7 +56,7 @@
 // All returns every event in order of its number.
 func All() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, StoreDown, StoreUp, PeerLost, PeerFound, Reread, Unread, StoreAway,
+		Started, Stopping, Stopped, Failed, StoreDown, StoreUp, PeerLost, PeerFound, Reread, Unread, StoreAway, LinesLost,
 		Retried, Hedged, Ejected, Silent, Answered,
 		Accepted, Rejected, Doubtful, Withdrawn,
 		Owned, Deposed, Released, Decided, Snapshot,
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -23,9 +23,9 @@
 	l.SetOutput(w)
 	switch format {
 	case "json":
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: stamp})
 	case "text", "":
-		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: stamp})
 	default:
 		return Log{}, fmt.Errorf("log format %q is neither text nor json", format)
 	}
@@ -40,6 +40,9 @@
 	return Log{entry: l.WithField("process", process)}, nil
 }
 
+// stamp is the form of times: lines of several processes are put in order by it.
+const stamp = "2006-01-02T15:04:05.000Z07:00"
+
 // Fields are the variable parts of a line.
 type Fields = logrus.Fields
 
