--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -48,13 +48,13 @@
 	// least is the level below which a run is halted.
 	least = 10
 	// rough is the share of a target from which a reading may hide a tail above
-	// it: readings were seen a fifth too low for seconds.
-	rough = 0.75
+	// it: readings were seen a third too low for seconds.
+	rough = 0.65
 	// doubtAfter is how long a tail may be read as high before tasks are slowed
 	// until it is read as safe for certain, and patience before all that fills
 	// beside it is halted; the users bear 4 s over the target.
-	doubtAfter = 1200 * time.Millisecond
-	patience   = 2500 * time.Millisecond
+	doubtAfter = 1900 * time.Millisecond
+	patience   = 2900 * time.Millisecond
 	// unknown is the factor of a pair of which nothing was told.
 	unknown = 0.7
 )
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -119,7 +119,7 @@
 func TestATailThatIsReadTooLow(t *testing.T) {
 	for _, load := range []float64{0.55, 0.6, 0.65, 0.7} {
 		w := newWorld()
-		w.load, w.rough = load, 0.8
+		w.load, w.rough = load, 0.7
 		NewWithT(t).Expect(w.run(15)).To(BeNumerically("<", 3500*time.Millisecond), "load %v; the users bear 4 s", load)
 	}
 }
