pace: in doubt, slow only what adds to the stress

Change: a tail that was read below its target, but high for long, halts only runs that add more than 0.02 of stress; one that is read over it halts all.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -23,8 +23,9 @@
 	bases   map[string]float64
 	cores   int64
 	levels  map[work.Run]*level
-	// over is since when a serving task may have been over its target.
-	over map[work.Run]time.Duration
+	// high is since when a serving task may have been over its target, and over
+	// since when it was read as over it.
+	high, over map[work.Run]time.Duration
 	// changed is when a level was last changed.
 	changed time.Duration
 	busy    bool
@@ -88,6 +89,8 @@
 	run          work.Run
 	image        string
 	stress, most float64
+	// doubt says that the tail was read below its target, but as high for long.
+	doubt bool
 }
 
 // fill is a task that fills, with its level.
@@ -106,11 +109,13 @@
 	}
 	reason := "calm"
 	switch {
-	case g.tooLong(now):
+	case tooLong(g.over, now):
 		for _, f := range fills {
 			f.at = 0
 		}
 		g.changed, reason = now, "over"
+	case tooLong(g.high, now) && g.halt(serves, fills):
+		g.changed, reason = now, "doubt"
 	case now-g.changed < lag && g.changed != 0:
 	default:
 		if g.slow(serves, fills) {
@@ -127,7 +132,7 @@
 	var serves []serve
 	var fills []fill
 	levels := map[work.Run]*level{}
-	over := map[work.Run]time.Duration{}
+	high, over := map[work.Run]time.Duration{}, map[work.Run]time.Duration{}
 	for _, r := range running {
 		a := about[r.Run]
 		switch {
@@ -143,23 +148,32 @@
 			fills = append(fills, fill{r.Run, a.Image, l})
 		case a.Lasts && a.Target > 0 && r.Percent >= full:
 			base := g.base(a)
-			target := float64(a.Target)
+			target, doubt := float64(a.Target), false
+			if float64(r.Figure) > target {
+				over[r.Run] = since(g.over, r.Run, now)
+			}
 			if float64(r.Figure) > rough*target {
-				over[r.Run] = now
-				if t, ok := g.over[r.Run]; ok {
-					over[r.Run] = t
-				}
-				if now-over[r.Run] >= doubtAfter {
+				high[r.Run] = since(g.high, r.Run, now)
+				if now-high[r.Run] >= doubtAfter {
 					target *= rough
+					doubt = true
 				}
 			}
-			serves = append(serves, serve{r.Run, a.Image, press.Stress(base, r.Figure), 1 - base/target})
+			serves = append(serves, serve{r.Run, a.Image, press.Stress(base, r.Figure), 1 - base/target, doubt})
 		}
 	}
-	g.levels, g.over = levels, over
+	g.levels, g.high, g.over = levels, high, over
 	return serves, fills
 }
 
+// since returns the time in a map, or now.
+func since(m map[work.Run]time.Duration, r work.Run, now time.Duration) time.Duration {
+	if t, ok := m[r]; ok {
+		return t
+	}
+	return now
+}
+
 // firstBase is the share of a target that counts as an idle task's tail until
 // the owner tells.
 const firstBase = 0.2
@@ -171,10 +185,10 @@
 	return firstBase * float64(a.Target)
 }
 
-// tooLong reports whether a serving task has been over its target for so long
-// that nothing may fill beside it.
-func (g *Guard) tooLong(now time.Duration) bool {
-	for _, t := range g.over {
+// tooLong reports whether a serving task has been high or over for so long that
+// what disturbs it must not go on.
+func tooLong(since map[work.Run]time.Duration, now time.Duration) bool {
+	for _, t := range since {
 		if now-t >= patience {
 			return true
 		}
@@ -182,6 +196,27 @@
 	return false
 }
 
+// slight is the stress below which a run is not the cause of a high tail.
+const slight = 0.02
+
+// halt stops the runs that add to the stress of a serving task that may be over
+// its target, and reports whether some did.
+func (g *Guard) halt(serves []serve, fills []fill) bool {
+	did := false
+	for _, s := range serves {
+		if _, ok := g.high[s.run]; !ok {
+			continue
+		}
+		for _, f := range fills {
+			if f.at > 0 && g.factor(f.image, s.image)*f.share*float64(f.at)/full > slight {
+				f.at = 0
+				did = true
+			}
+		}
+	}
+	return did
+}
+
 func (g *Guard) factor(fill, serve string) float64 {
 	if f, ok := g.factors[[2]string{fill, serve}]; ok {
 		return f
@@ -203,7 +238,7 @@
 		slices.SortStableFunc(sorted, func(a, b fill) int { return cmp.Compare(cost(b), cost(a)) })
 		for _, f := range sorted {
 			c := cost(f)
-			if need <= 0 || f.at == 0 || c <= 0 {
+			if need <= 0 || f.at == 0 || c <= 0 || s.doubt && c <= slight {
 				continue
 			}
 			at := f.at
