--- a/internal/conf/doc_test.go
+++ b/internal/conf/doc_test.go
@@ -11,6 +11,7 @@
 
 	"lagoonrack/internal/conf"
 	"lagoonrack/internal/jobs"
+	"lagoonrack/internal/plans"
 	"lagoonrack/internal/proc"
 	"lagoonrack/internal/tree"
 )
@@ -28,6 +29,7 @@
 		{"Base file and overlays (`lagoonctl apply`)", conf.Settings{}},
 		{"Settings file of a process (`--settings`)", proc.Settings{}},
 		{"Job file (`lagoonctl submit`)", jobs.File{}},
+		{"File of a job with steps (`lagoonctl submit`)", plans.File{}},
 	} {
 		fmt.Fprintf(&b, "\n## %s\n\n| key | meaning |\n|---|---|\n", part.title)
 		keys(&b, "", reflect.TypeOf(part.v))
--- a/internal/ctlcmd/cancel.go
+++ b/internal/ctlcmd/cancel.go
@@ -11,7 +11,7 @@
 )
 
 func cancelCommand() *cli.Command {
-	return command("cancel", "withdraw a job", "NAME", runCancel, entryFlag(), outputFlag())
+	return command("cancel", "withdraw a job", "NAME", runCancel, entryFlag(), outputFlag(), stepsFlag())
 }
 
 func runCancel(ctx context.Context, c *cli.Command) error {
@@ -24,7 +24,7 @@
 		return err
 	}
 	var d api.Done
-	if err := cl.Delete(ctx, &d, "jobs", name); err != nil {
+	if err := cl.Delete(ctx, &d, table(c), name); err != nil {
 		return err
 	}
 	return show(c, d, func(w io.Writer) { fmt.Fprintf(w, "job %s: %s\n", name, d.Text) })
--- a/internal/ctlcmd/root.go
+++ b/internal/ctlcmd/root.go
@@ -55,7 +55,7 @@
 		},
 		Commands: []*cli.Command{
 			checkCommand(), showCommand(), diffCommand(), applyCommand(), statusCommand(),
-			submitCommand(), jobsCommand(), workersCommand(), cancelCommand(), whyCommand(), drainCommand(),
+			submitCommand(), stateCommand(), jobsCommand(), workersCommand(), cancelCommand(), whyCommand(), drainCommand(),
 		},
 	}
 }
