front: configurations reach entries on thin links; owners on wide ones

Ruled out: the matching of routes (a log line at each 404 named the version). Change: entries send one another configurations compressed (under a fifth), one fetch at a time, as soon as a ping tells of a newer one; reads get 2.5 s; the link counts in the choice of the owner, and weak machines wait at the start.

--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -1,8 +1,11 @@
 package front
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"lagoonrack/internal/fault"
@@ -18,6 +21,9 @@
 	// readTimeout bounds a read of the store, which takes 4 ms as a rule and
 	// sixty times that on a slow day.
 	readTimeout = 900 * time.Millisecond
+	// configTimeout bounds the reading of a configuration. One of 1,600 routes has
+	// half a megabyte, which a link of 10 Mbit/s carries in half a second.
+	configTimeout = 2500 * time.Millisecond
 	// retryPause is the wait after a failed call of the store.
 	retryPause = 100 * time.Millisecond
 )
@@ -55,7 +61,7 @@
 
 // readConfig reads the row and returns the version to follow it from.
 func (f *Front) readConfig(ctx context.Context) (uint64, error) {
-	c, cancel := context.WithTimeout(ctx, readTimeout)
+	c, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
 	row, s, err := f.Rows.Read(c, f.Key)
 	if err != nil {
@@ -104,17 +110,51 @@
 	if now != nil && cfg.Version <= now.Version {
 		return
 	}
-	f.config.Store(&version{Config: cfg, raw: raw, at: f.Clock.Now()})
+	f.config.Store(&version{Config: cfg, raw: raw})
 	f.leader.Configure(cfg)
 	f.Log.Info(logs.Applied, logs.Fields{"version": cfg.Version, "source": source, "queues": len(cfg.Queues)})
 }
 
-// fetch takes the configuration of another entry.
+// fetch takes the configuration of another entry, which sends it compressed: a
+// thin link carries that much sooner than the store's answer. One fetch is under
+// way at a time, so that several don't share the link.
 func (f *Front) fetch(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	if f.fetching.Swap(true) {
+		return
+	}
+	defer f.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
-	var raw []byte
-	if err := f.pool.Get(addr).Call(ctx, work.EntryService+".Config", 0, &raw); err == nil {
-		f.take(raw, addr)
+	var packed []byte
+	if err := f.pool.Get(addr).Call(ctx, work.EntryService+".Config", 0, &packed); err != nil {
+		f.Tally.Inc("lagoon_settings_fetch_errors_total")
+		f.Log.Info(logs.PeerLost, logs.Fields{"entry": addr, "step": "fetch configuration", "error": err.Error()})
+		return
+	}
+	raw, err := unpack(packed)
+	if err != nil {
+		f.Log.Error(logs.Refused, err, logs.Fields{"source": addr})
+		return
+	}
+	f.take(raw, addr)
+}
+
+// pack compresses a configuration, whose routes are much alike.
+func pack(raw []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
 	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	return io.ReadAll(flate.NewReader(bytes.NewReader(packed)))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,7 +53,9 @@
 	leaving atomic.Bool
 	open    atomic.Int64
 	config  atomic.Pointer[version]
-	apply   sync.Mutex
+	// fetching says that the configuration is being fetched from another entry.
+	fetching atomic.Bool
+	apply    sync.Mutex
 	// gauge measures the store's clock: how far it is ahead of this process's.
 	gauge atomic.Int64
 	// turned says that the store has not answered since it failed a call.
@@ -70,8 +72,17 @@
 // version is a configuration with the bytes that it was read from.
 type version struct {
 	*work.Config
-	raw []byte
-	at  time.Duration
+	raw  []byte
+	once sync.Once
+	// packed is raw, compressed at the first use.
+	packed []byte
+	err    error
+}
+
+// pack returns the compressed form.
+func (v *version) pack() ([]byte, error) {
+	v.once.Do(func() { v.packed, v.err = pack(v.raw) })
+	return v.packed, v.err
 }
 
 // Start opens the address and begins to serve.
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -159,7 +159,7 @@
 		f.Tally.Inc("lagoon_pings_lost_total")
 		return
 	}
-	f.ponged(ctx, p, pong)
+	f.ponged(p, pong)
 }
 
 // describe is what this entry says of itself.
@@ -171,7 +171,7 @@
 	return p
 }
 
-func (f *Front) ponged(ctx context.Context, p *peer, pong work.Pong) {
+func (f *Front) ponged(p *peer, pong work.Pong) {
 	now := f.Clock.Now()
 	owner, _ := f.leader.Owner()
 	f.mu.Lock()
@@ -190,19 +190,33 @@
 	}
 	f.leader.Learn(pong.Term, pong.Owner)
 	if pong.Version > f.describe().Version {
-		f.fetch(ctx, p.addr)
+		go f.fetch(f.ctx, p.addr)
 	}
 	for _, e := range pong.Entries {
 		f.met(e)
 	}
 }
 
+const (
+	// strangerFor is how long after its start an entry hardly knows the others.
+	strangerFor = 1500 * time.Millisecond
+	// strongWeight is the weight of a machine that claims at once, about that of
+	// 0.4 of a core on a link of 100 Mbit/s, and weakRanks how many ranks the
+	// weakest waits.
+	strongWeight = 400
+	weakRanks    = 3
+)
+
 // rank counts the entries that are alive and better suited to own the cell.
 func (f *Front) rank() int {
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
+	if now < strangerFor {
+		// Others are hardly known yet; a weak machine leaves them time to claim.
+		n = int(weakRanks * max(0, 1-float64(f.Weight)/strongWeight))
+	}
 	for _, p := range f.peers {
 		if now-p.heard > aliveFor || p.Leaving {
 			continue
@@ -270,10 +284,13 @@
 
 // Config returns the configuration in force as the operators wrote it.
 func (p *Peer) Config(_ int, out *[]byte) error {
-	if v := p.front.config.Load(); v != nil {
-		*out = v.raw
+	v := p.front.config.Load()
+	if v == nil {
+		return nil
 	}
-	return nil
+	packed, err := v.pack()
+	*out = packed
+	return err
 }
 
 // Submit tells the owner of a stored job.
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -65,6 +65,7 @@
 	Advisor  string    `yaml:"advisor" doc:"Address of the platform's advisor, if there is one."`
 	Cloud    string    `yaml:"cloud" doc:"Address of the platform's list of machines."`
 	Power    float64   `yaml:"power" doc:"Processor share of the machine; the most powerful entry is preferred as owner."`
+	Link     float64   `yaml:"link" doc:"Mbit/s of the machine's link; an entry on a thin one is no preferred owner."`
 	Lease    unit.Span `yaml:"lease" doc:"How long a worker goes on without a renewal by its agent."`
 	Trust    unit.Span `yaml:"trust" doc:"How long an agent renews without a word from the owner."`
 	Keep     unit.Span `yaml:"keep" doc:"How long an ended job can be asked for."`
