--- a/internal/ctlcmd/cancel.go
+++ b/internal/ctlcmd/cancel.go
@@ -15,11 +15,7 @@
 }
 
 func runCancel(ctx context.Context, c *cli.Command) error {
-	name, err := one(c, "job name")
-	if err != nil {
-		return err
-	}
-	cl, err := client(c)
+	name, cl, err := named(c, "job name")
 	if err != nil {
 		return err
 	}
--- a/internal/ctlcmd/root.go
+++ b/internal/ctlcmd/root.go
@@ -96,6 +96,16 @@
 	return ctl.Client{Addr: addr}, nil
 }
 
+// named returns the only argument and a client of the entry.
+func named(c *cli.Command, what string) (string, ctl.Client, error) {
+	name, err := one(c, what)
+	if err != nil {
+		return "", ctl.Client{}, err
+	}
+	cl, err := client(c)
+	return name, cl, err
+}
+
 // one returns the only argument.
 func one(c *cli.Command, what string) (string, error) {
 	if c.Args().Len() != 1 {
--- a/internal/ctlcmd/submit.go
+++ b/internal/ctlcmd/submit.go
@@ -8,7 +8,6 @@
 	"github.com/urfave/cli/v3"
 
 	"lagoonrack/internal/api"
-	"lagoonrack/internal/conf"
 	"lagoonrack/internal/jobs"
 	"lagoonrack/internal/plans"
 )
@@ -26,37 +25,27 @@
 	if err != nil {
 		return err
 	}
-	if plans.Is([]byte(f.Text)) {
-		return submitSteps(ctx, c, f)
-	}
-	j, err := jobs.Parse(f.Name, []byte(f.Text))
-	if err != nil {
-		return err
-	}
 	cl, err := client(c)
 	if err != nil {
 		return err
 	}
 	var d api.Done
-	if err := cl.Post(ctx, j, &d, "jobs"); err != nil {
-		return fmt.Errorf("%s: %w", f.Name, err)
-	}
-	return show(c, d, func(w io.Writer) { fmt.Fprintf(w, "job %s %s in cell %s\n", j.Name, d.Text, d.Cell) })
-}
-
-// submitSteps submits a job that is made of steps.
-func submitSteps(ctx context.Context, c *cli.Command, f conf.File) error {
-	j, err := plans.Parse(f.Name, []byte(f.Text))
-	if err != nil {
-		return err
+	if plans.Is([]byte(f.Text)) {
+		j, err := plans.Parse(f.Name, []byte(f.Text))
+		if err != nil {
+			return err
+		}
+		if err := cl.Post(ctx, j, &d, "steps"); err != nil {
+			return fmt.Errorf("%s: %w", f.Name, err)
+		}
+		return show(c, d, func(w io.Writer) { fmt.Fprintf(w, "job %s %s\n", j.ID, d.Text) })
 	}
-	cl, err := client(c)
+	j, err := jobs.Parse(f.Name, []byte(f.Text))
 	if err != nil {
 		return err
 	}
-	var d api.Done
-	if err := cl.Post(ctx, j, &d, "steps"); err != nil {
+	if err := cl.Post(ctx, j, &d, "jobs"); err != nil {
 		return fmt.Errorf("%s: %w", f.Name, err)
 	}
-	return show(c, d, func(w io.Writer) { fmt.Fprintf(w, "job %s %s\n", j.ID, d.Text) })
+	return show(c, d, func(w io.Writer) { fmt.Fprintf(w, "job %s %s in cell %s\n", j.Name, d.Text, d.Cell) })
 }
