--- a/internal/traces/traces.go
+++ b/internal/traces/traces.go
@@ -94,8 +94,9 @@
 
 func (l Line) field(key string) string { return word(l.Fields[key]) }
 
-func (l Line) number(key string) float64 {
-	n, _ := l.Fields[key].(float64)
+// took is how long the step took that the line tells of, in milliseconds.
+func (l Line) took() float64 {
+	n, _ := l.Fields["ms"].(float64)
 	return n
 }
 
@@ -171,7 +172,7 @@
 	case kind(own, "cancel") != nil || withdrawn(own):
 		return "withdrawn by its caller"
 	case kind(own, "complete") != nil:
-		return fmt.Sprintf("completed after %s; %s", span(kind(own, "complete").number("ms")), slowest(own))
+		return fmt.Sprintf("completed after %s; %s", span(kind(own, "complete").took()), slowest(own))
 	}
 	return "not ended in these logs; " + slowest(own)
 }
@@ -224,7 +225,7 @@
 	for i, l := range own {
 		switch l.field("kind") {
 		case "place":
-			if longest == nil || l.number("ms") > longest.number("ms") {
+			if longest == nil || l.took() > longest.took() {
 				longest = &own[i]
 			}
 		case "end", "vanish", "refused":
@@ -234,8 +235,8 @@
 		}
 	}
 	var parts []string
-	if longest != nil && longest.number("ms") > shortWait {
-		parts = append(parts, fmt.Sprintf("task %s waited %s for a place", longest.field("task"), span(longest.number("ms"))))
+	if longest != nil && longest.took() > shortWait {
+		parts = append(parts, fmt.Sprintf("task %s waited %s for a place", longest.field("task"), span(longest.took())))
 	}
 	for _, k := range slices.Sorted(maps.Keys(ends)) {
 		parts = append(parts, fmt.Sprintf("%d runs: %s", ends[k], k))
