--- a/internal/press/press_test.go
+++ b/internal/press/press_test.go
@@ -16,10 +16,12 @@
 
 const (
 	base, target = 10, 50
+	// seconds is how long a table is fed, about a day of the bench.
+	seconds = 30
 )
 
 // play feeds a table with readings of serving tasks whose load swings.
-func play(t *press.Table, seconds int) {
+func play(t *press.Table) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for i := range 2 * seconds {
 		now := time.Duration(i) * 500 * time.Millisecond
@@ -41,7 +43,7 @@
 func TestLearnsWhichImageDisturbs(t *testing.T) {
 	g := NewWithT(t)
 	var tab press.Table
-	play(&tab, 30)
+	play(&tab)
 	g.Expect(tab.Factor("heavy", "serve")).To(BeNumerically("~", truth["heavy"], 0.5))
 	g.Expect(tab.Factor("light", "serve")).To(BeNumerically("<", 0.5))
 	g.Expect(tab.Base("serve", target)).To(BeNumerically("~", base, 3))
@@ -50,7 +52,7 @@
 func TestRoomFollowsTheLoad(t *testing.T) {
 	g := NewWithT(t)
 	var tab press.Table
-	play(&tab, 30)
+	play(&tab)
 	calm := press.Serving{Task: "a", Image: "serve", Target: target}
 	busy := press.Serving{Task: "c", Image: "serve", Target: target}
 	heavy := []press.Fill{{Image: "heavy", Share: 0.11}}
@@ -61,14 +63,14 @@
 
 func TestAnotherOwnerGoesOnWithWhatWasLearned(t *testing.T) {
 	var a, b press.Table
-	play(&a, 30)
+	play(&a)
 	b.Load(a.Save())
 	NewWithT(t).Expect(b.Factor("heavy", "serve")).To(Equal(a.Factor("heavy", "serve")))
 }
 
 func TestAPairThatWasNotSeenTakesAfterItsImage(t *testing.T) {
 	var tab press.Table
-	play(&tab, 30)
+	play(&tab)
 	g := NewWithT(t)
 	g.Expect(tab.Factor("heavy", "other")).To(BeNumerically(">", tab.Factor("light", "other")))
 }
