--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -23,6 +23,8 @@
 	bases   map[string]float64
 	cores   int64
 	levels  map[work.Run]*level
+	// mean is the smoothed share of its target that a tail is read at.
+	mean map[work.Run]float64
 	// high is since when a serving task may have been over its target, and over
 	// since when it was read as over it.
 	high, over map[work.Run]time.Duration
@@ -50,7 +52,10 @@
 	least = 10
 	// rough is the share of a target from which a reading may hide a tail above
 	// it: readings were seen a third too low for seconds.
-	rough = 0.65
+	rough = 0.7
+	// newest is the weight of the newest reading in the smoothed one; readings
+	// come about every 0.3 s.
+	newest = 0.3
 	// doubtAfter is how long a tail may be read as high before tasks are slowed
 	// until it is read as safe for certain, and patience before all that fills
 	// beside it is halted; the users bear 4 s over the target.
@@ -133,6 +138,7 @@
 	var fills []fill
 	levels := map[work.Run]*level{}
 	high, over := map[work.Run]time.Duration{}, map[work.Run]time.Duration{}
+	mean := map[work.Run]float64{}
 	for _, r := range running {
 		a := about[r.Run]
 		switch {
@@ -152,7 +158,8 @@
 			if float64(r.Figure) > target {
 				over[r.Run] = since(g.over, r.Run, now)
 			}
-			if float64(r.Figure) > rough*target {
+			mean[r.Run] = smooth(g.mean, r.Run, float64(r.Figure)/target)
+			if mean[r.Run] > rough {
 				high[r.Run] = since(g.high, r.Run, now)
 				if now-high[r.Run] >= doubtAfter {
 					target *= rough
@@ -162,10 +169,20 @@
 			serves = append(serves, serve{r.Run, a.Image, press.Stress(base, r.Figure), 1 - base/target, doubt})
 		}
 	}
-	g.levels, g.high, g.over = levels, high, over
+	g.levels, g.mean, g.high, g.over = levels, mean, high, over
 	return serves, fills
 }
 
+// smooth returns the mean of a reading and those before, the newer ones counting
+// more: single readings are rough.
+func smooth(m map[work.Run]float64, r work.Run, reading float64) float64 {
+	old, ok := m[r]
+	if !ok {
+		return reading
+	}
+	return old + newest*(reading-old)
+}
+
 // since returns the time in a map, or now.
 func since(m map[work.Run]time.Duration, r work.Run, now time.Duration) time.Duration {
 	if t, ok := m[r]; ok {
