--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -65,8 +65,6 @@
 	peers map[string]*peer
 	// pending is what the owner last said of the queues.
 	pending map[string]int
-	// advice is the owner's last word on what it can take.
-	load sched.Load
 }
 
 // version is a configuration with the bytes that it was read from.
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -264,7 +264,7 @@
 // Pending counts the jobs of a queue of which no task was started. It is at
 // most one ping old, or the last that an owner said.
 func (f *Front) Pending(queue string) int {
-	if n, _, err := f.leader.Pending(); err == nil {
+	if n, err := f.leader.Pending(); err == nil {
 		return n[queue]
 	}
 	f.mu.Lock()
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -9,7 +9,6 @@
 	"lagoonrack/internal/leader"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
-	"lagoonrack/internal/sched"
 	"lagoonrack/internal/work"
 )
 
@@ -180,7 +179,7 @@
 	}
 	p.Pong, p.heard = pong, now
 	if pong.Owns > 0 {
-		f.pending, f.load = pong.Pending, sched.Load(pong.Load)
+		f.pending = pong.Pending
 	}
 	f.mu.Unlock()
 	if p.addr == owner {
@@ -265,8 +264,8 @@
 	out.Weight, out.Leaving = f.Weight, f.leaving.Load()
 	out.Entries = f.alive()
 	if s.Owns > 0 {
-		if n, l, err := f.leader.Pending(); err == nil {
-			out.Pending, out.Load = n, work.Load(l)
+		if n, err := f.leader.Pending(); err == nil {
+			out.Pending = n
 		}
 	}
 	return nil
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -60,16 +60,15 @@
 	return t.core.State(id), nil
 }
 
-// Pending counts the jobs of each queue of which no task was started, and
-// tells how much waits.
-func (l *Leader) Pending() (map[string]int, sched.Load, error) {
+// Pending counts the jobs of each queue of which no task was started.
+func (l *Leader) Pending() (map[string]int, error) {
 	t := l.current()
 	if t == nil {
-		return nil, sched.Load{}, ErrNotOwner
+		return nil, ErrNotOwner
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return t.core.Pending(), t.core.Load(), nil
+	return t.core.Pending(), nil
 }
 
 // reportWait bounds the wait for the commit that an answer to a report needs.
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -63,7 +63,6 @@
 	Check    string    `yaml:"check" doc:"Address at which an entry answers the balancer."`
 	Announce string    `yaml:"announce" doc:"Address at which an agent's worker registers."`
 	Advisor  string    `yaml:"advisor" doc:"Address of the platform's advisor, if there is one."`
-	Cloud    string    `yaml:"cloud" doc:"Address of the platform's list of machines."`
 	Power    float64   `yaml:"power" doc:"Processor share of the machine; the most powerful entry is preferred as owner."`
 	Link     float64   `yaml:"link" doc:"Mbit/s of the machine's link; an entry on a thin one is no preferred owner."`
 	Lease    unit.Span `yaml:"lease" doc:"How long a worker goes on without a renewal by its agent."`
--- a/internal/sched/fate.go
+++ b/internal/sched/fate.go
@@ -35,7 +35,7 @@
 	case work.Started:
 		if !p.known {
 			p.known = true
-			p.okay, p.moved = c.now, c.now
+			p.okay = c.now
 			c.emit(Note{Kind: "started", Task: p.name(), Run: p.run, Worker: p.worker.ID, Took: c.now - p.task.step.job.taken})
 		}
 	case work.Unknown:
@@ -62,7 +62,6 @@
 	switch code {
 	case work.Sick:
 		p.worker.streak++
-		p.worker.bad = c.now
 	case work.Ticket:
 		c.advice.forget(p)
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -99,8 +99,6 @@
 	percent  int
 	// worked is until when the run's work is counted.
 	worked time.Duration
-	// moved is when the percent changed last.
-	moved  time.Duration
 	saved  string
 	figure int64
 	// starved is since when a run that fills gets little of what it asks for,
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -243,7 +243,7 @@
 	w := p.worker
 	switch how {
 	case work.Done:
-		w.streak, w.good = 0, c.now
+		w.streak = 0
 		if p.task.step.Lasts {
 			return
 		}
@@ -251,7 +251,6 @@
 		c.learned.ended(p.task.step.job.Queue, p.task.step.Step, p.task.work)
 	case work.Failed:
 		w.streak++
-		w.bad = c.now
 		if w.streak == suspectAfter {
 			c.emit(Note{Kind: "suspect", Worker: w.ID, Reason: "failures"})
 		}
@@ -321,16 +320,12 @@
 	if !p.known {
 		p.known = true
 		p.okay = c.now
-		p.moved = c.now
 	}
 	p.unseen = 0
 	if r.Saved != "" {
 		p.saved = r.Saved
 	}
-	if r.Percent != p.percent {
-		p.percent = r.Percent
-		p.moved = c.now
-	}
+	p.percent = r.Percent
 	p.figure = r.Figure
 	c.advance(p)
 	c.starve(p)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -46,8 +46,6 @@
 type health struct {
 	// streak counts the failures since the last success.
 	streak int
-	// good is when a run last ended well, and bad when one last failed.
-	good, bad time.Duration
 	// probe is when a suspect was last given a run.
 	probe time.Duration
 }
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -152,15 +152,9 @@
 	Weight  int64
 	Leaving bool
 	Entries []string
-	// Pending and Load are the owner's word on its queues.
+	// Pending is the owner's count of jobs, by queue, of which no task was
+	// started.
 	Pending map[string]int
-	Load    Load
-}
-
-// Load is what an owner says of the work that it has accepted, by queue: how
-// long a job that is handed in now would wait, in milliseconds.
-type Load struct {
-	Wait map[string]int64
 }
 
 // Press is how much a filling image disturbs a serving one: the stress that it
