sched, runner: an order that was held up on its way is void

On the platform a partition that heals delivers such an order too. Ruled out: a shorter resend, which only makes it rarer. Change: a report names itself, an order repeats the newest report that the owner had, and the agent refuses starts of an order whose report is older than its trust or of an earlier process.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoonrack/internal/sched"
+	"lagoonrack/internal/work"
 )
 
 // lease is what an agent knows of its worker's lease. Times are of the agent's
@@ -36,6 +37,12 @@
 	return l.heard && now-l.word < l.limits.Trust
 }
 
+// fresh reports whether an order answers a report of this process that is
+// younger than the trust.
+func (l *lease) fresh(now time.Duration, w work.Word, process int64) bool {
+	return w.Process == process && now-w.Sent < l.limits.Trust
+}
+
 // sync takes in a reading of the worker's clock.
 func (l *lease) sync(now, clock time.Duration) {
 	if l.synced && l.at(now) > clock {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -114,7 +114,7 @@
 	case r.worker.Leaving:
 		w.code = work.Leaving
 		close(w.done)
-	case until == 0:
+	case until == 0 || !r.lease.fresh(now, o.Word, r.Clock.Epoch()):
 		w.code = work.Late
 		close(w.done)
 	default:
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -55,6 +55,8 @@
 	word    time.Duration
 	heard   bool
 	allowed bool
+	// process counts the starts of the agent.
+	process int64
 }
 
 type running struct {
@@ -167,7 +169,10 @@
 }
 
 // restart loses what the agent knows.
-func (r *runner) restart() { r.term, r.heard, r.allowed, r.word = 0, false, false, 0 }
+func (r *runner) restart() {
+	r.term, r.heard, r.allowed, r.word = 0, false, false, 0
+	r.process++
+}
 
 // elect makes a new owner from what is stored.
 func (w *world) elect() {
@@ -290,7 +295,7 @@
 		case c != "":
 		case r.leaving:
 			c = work.Leaving
-		case !r.trusts(w.now):
+		case !r.trusts(w.now) || o.Word.Process != r.process || w.now-o.Word.Sent >= trust:
 			c = work.Late
 		default:
 			c = w.start(r, s, o)
@@ -513,6 +518,7 @@
 		o = w.owners[w.rng.IntN(len(w.owners))]
 	}
 	rep := work.Report{
+		Word:  work.Word{Process: r.process, Sent: w.now},
 		Agent: r.addr, Listed: true, Unix: w.now.Milliseconds(),
 		Worker: work.Worker{Life: work.Life{ID: r.id, Born: r.born}, Service: "s", Size: r.size, Leaving: r.leaving, Remaining: 2000},
 		Ends:   slices.Clone(r.ends),
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -28,6 +28,9 @@
 	fresh := !w.known || w.Leaving != e.Worker.Leaving
 	w.Worker = e.Worker
 	w.heard = c.now
+	if e.Word.Process != w.word.Process || e.Word.Sent > w.word.Sent {
+		w.word = e.Word
+	}
 	w.known = true
 	if fresh {
 		c.moved = true
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -26,8 +26,10 @@
 	// heard is when the last report came, and until is after the end of every
 	// lease that the worker may hold.
 	heard, until time.Duration
-	// known says that the worker reported to this owner.
+	// known says that the worker reported to this owner, and word is the newest
+	// report.
 	known bool
+	word  work.Word
 	// seen is the highest end that was taken in, and noted the highest that is
 	// stored.
 	seen, noted int64
@@ -127,7 +129,7 @@
 	if !w.queued {
 		w.queued = true
 		c.out = append(c.out, w)
-		w.out = work.Order{Term: c.term, Life: w.Life}
+		w.out = work.Order{Term: c.term, Life: w.Life, Word: w.word}
 	}
 	return &w.out
 }
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -1,5 +1,16 @@
 package work
 
+import "time"
+
+// Word names a report: when the agent's process began and when it sent the
+// report, by its own clock. An order repeats the word that the owner had last, and
+// is void once that is older than the agent's trust: an order that was held up on
+// its way must not be carried out after the owner gave its tasks away.
+type Word struct {
+	Process int64         `cbor:"1,keyasint"`
+	Sent    time.Duration `cbor:"2,keyasint"`
+}
+
 // Report is what an agent tells the owner of its worker.
 type Report struct {
 	// Agent is the address of the agent.
@@ -24,6 +35,7 @@
 	Asks []Run `cbor:"11,keyasint,omitempty"`
 	// Name is the agent's name.
 	Name string `cbor:"12,keyasint"`
+	Word Word   `cbor:"13,keyasint"`
 }
 
 // Reply answers a report.
@@ -68,6 +80,7 @@
 	// Owner is the address of the owner.
 	Owner  string  `cbor:"2,keyasint"`
 	Life   Life    `cbor:"3,keyasint"`
+	Word   Word    `cbor:"8,keyasint"`
 	Starts []Start `cbor:"4,keyasint,omitempty"`
 	// Specs holds the specification of each job in Starts.
 	Specs map[string]string `cbor:"5,keyasint,omitempty"`
