clock, sched: one wait that a context ends; a room that is worked out once

The score of a worker worked out the room of its serving tasks twice. No behaviour changes; tests unchanged.

--- a/internal/agent/loops.go
+++ b/internal/agent/loops.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/setup"
@@ -137,7 +138,7 @@
 		rep, err := a.poll(ctx)
 		if err != nil {
 			a.log.Debug(logs.PeerLost, logs.Fields{"worker": a.proc.Worker.Name, "error": err.Error()})
-			pause(ctx, ownerPause)
+			clock.Sleep(ctx, ownerPause)
 			continue
 		}
 		now := summary(rep)
@@ -145,7 +146,7 @@
 		case waiting <- struct{}{}:
 		default:
 			if now == last {
-				pause(ctx, gap(rep))
+				clock.Sleep(ctx, gap(rep))
 				continue
 			}
 		}
@@ -157,7 +158,7 @@
 			default:
 			}
 		})
-		pause(ctx, beatGap)
+		clock.Sleep(ctx, beatGap)
 	}
 }
 
@@ -181,15 +182,6 @@
 	return s
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (a *Agent) poll(ctx context.Context) (plat.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -200,7 +192,7 @@
 func (a *Agent) exchangeBeat(ctx context.Context, rep plat.Report) {
 	addr := a.ownerAddr()
 	if addr == "" {
-		pause(ctx, ownerPause)
+		clock.Sleep(ctx, ownerPause)
 		return
 	}
 	v, _ := a.setup.Now()
@@ -218,12 +210,12 @@
 	out := new(wire.Orders)
 	if err := a.pool.Get(addr).Call(c, entryName+".Beat", b, out); err != nil {
 		a.setOwner(addr, "")
-		pause(ctx, ownerPause)
+		clock.Sleep(ctx, ownerPause)
 		return
 	}
 	if out.Incarnation == "" {
 		a.setOwner(addr, out.Redirect)
-		pause(ctx, ownerPause)
+		clock.Sleep(ctx, ownerPause)
 		return
 	}
 	a.apply(ctx, rep, *out)
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -36,3 +37,13 @@
 
 // Epoch returns the wall-clock time of the start, in milliseconds since 1970.
 func (c Clock) Epoch() int64 { return c.start.UnixMilli() }
+
+// Sleep waits for a span, or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -35,22 +36,13 @@
 		from, err := f.readConfig(ctx)
 		if err != nil {
 			f.storeFailed("read configuration", err)
-			f.wait(ctx, retryPause)
+			clock.Sleep(ctx, retryPause)
 			continue
 		}
 		f.followConfig(ctx, from)
 	}
 }
 
-func (f *Front) wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (f *Front) storeFailed(step string, err error) {
 	if f.ctx.Err() != nil {
 		return
@@ -79,7 +71,7 @@
 		if err != nil {
 			if !errors.Is(err, plat.ErrForgotten) {
 				f.storeFailed("follow configuration", err)
-				f.wait(ctx, retryPause)
+				clock.Sleep(ctx, retryPause)
 			}
 			return
 		}
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -112,7 +113,7 @@
 		if !doubt && f.Clock.Now()-began > refuseAfter {
 			return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
 		}
-		f.wait(ctx, tryPause)
+		clock.Sleep(ctx, tryPause)
 		if ctx.Err() != nil {
 			if doubt {
 				return Outcome{Fate: Doubtful}
@@ -185,7 +186,7 @@
 			return row.Version != 0, nil
 		}
 		f.storeFailed("read job", err)
-		f.wait(ctx, 2*tryPause)
+		clock.Sleep(ctx, 2*tryPause)
 		if ctx.Err() != nil {
 			return false, ctx.Err()
 		}
@@ -227,7 +228,7 @@
 			return s, Outcome{}
 		}
 		f.storeFailed("read state", err)
-		f.wait(ctx, 2*tryPause)
+		clock.Sleep(ctx, 2*tryPause)
 		if ctx.Err() != nil {
 			return "", Outcome{Fate: Refused, Reason: "store", After: outageAfter}
 		}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/leader"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -50,15 +51,15 @@
 		if err := f.enter(ctx); err == nil {
 			break
 		}
-		f.wait(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 	}
 	for ctx.Err() == nil {
 		if err := f.readRoster(ctx); err != nil {
 			f.storeFailed("read entries", err)
-			f.wait(ctx, 5*retryPause)
+			clock.Sleep(ctx, 5*retryPause)
 			continue
 		}
-		f.wait(ctx, rosterEvery)
+		clock.Sleep(ctx, rosterEvery)
 	}
 }
 
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/rpcs"
@@ -118,7 +119,7 @@
 			f.Log.Info(logs.StoreUp, logs.Fields{"ms": (f.Clock.Now() - began).Milliseconds()})
 			return
 		}
-		f.wait(ctx, probePause)
+		clock.Sleep(ctx, probePause)
 	}
 }
 
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/sched"
@@ -142,7 +143,7 @@
 		if idle {
 			return
 		}
-		sleep(ctx, time.Millisecond)
+		clock.Sleep(ctx, time.Millisecond)
 	}
 }
 
--- a/internal/leader/claim.go
+++ b/internal/leader/claim.go
@@ -6,6 +6,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/elect"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -22,7 +23,7 @@
 		l.mu.Lock()
 		l.watch.Unread()
 		l.mu.Unlock()
-		sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return
 	}
 	if t == nil {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -145,7 +145,7 @@
 		l.mu.Lock()
 		l.watch.Unread()
 		l.mu.Unlock()
-		sleep(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return
 	}
 	l.saw(t)
@@ -158,15 +158,6 @@
 	l.watch.Read(l.Clock.Now(), elect.Title{Term: t.Term, Vacant: t.Addr == "", Mine: t.Name == l.Name && t.Addr == l.Addr})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (l *Leader) failed(step string, err error) {
 	if errors.Is(err, context.Canceled) {
 		return
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/sched"
@@ -211,7 +212,7 @@
 		}
 		if err != nil {
 			l.failed("commit", err)
-			sleep(t.ctx, retryPause)
+			clock.Sleep(t.ctx, retryPause)
 		}
 	}
 	return t.ctx.Err()
@@ -259,7 +260,7 @@
 // lost if an entry ends before it told the owner.
 func (l *Leader) loopFeed(t *term) {
 	for {
-		sleep(t.ctx, feedEvery)
+		clock.Sleep(t.ctx, feedEvery)
 		if t.ctx.Err() != nil {
 			return
 		}
--- a/internal/owner/loops.go
+++ b/internal/owner/loops.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lagoonrack/internal/cell"
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/ledger"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -82,7 +83,7 @@
 		if err != nil {
 			o.failed(step, err)
 		}
-		sleep(ctx, retryEvery)
+		clock.Sleep(ctx, retryEvery)
 	}
 	return ctx.Err()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -112,7 +112,7 @@
 	o.asked = make(chan struct{}, 1)
 	asked := o.asked
 	o.mu.Unlock()
-	sleep(ctx, watchEvery)
+	clock.Sleep(ctx, watchEvery)
 	if o.close() {
 		return
 	}
@@ -125,15 +125,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (o *Owner) isLeaving() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -46,7 +47,7 @@
 		}
 		if err != nil {
 			r.holdFailed(h, err)
-			pause(ctx, holdPause)
+			clock.Sleep(ctx, holdPause)
 			continue
 		}
 		if r.took(ctx, h, held, sent) {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/leader"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/work"
@@ -171,7 +172,7 @@
 
 // find looks for the owner: the store's title, and entries that may know it.
 func (r *Runner) find(ctx context.Context) {
-	pause(ctx, findPause)
+	clock.Sleep(ctx, findPause)
 	r.mu.Lock()
 	known := r.owner != ""
 	now := r.Clock.Now()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -169,12 +169,3 @@
 	default:
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -105,13 +105,14 @@
 // serving tasks are calm and that have processors left.
 func (c *Core) fillScore(s *step, w *worker) float64 {
 	x := share(s.Size.Cores, w)
-	harm := max(0, pressMargin-c.pressRoom(s, w))
+	room := c.pressRoom(s, w)
+	harm := max(0, pressMargin-room)
 	for p := range w.places {
 		if q := p.task.step; q.Lasts && q.Target > 0 {
 			harm = max(harm, x*c.press.Factor(s.Image, q.Image))
 		}
 	}
-	return roomWeight*(c.pressRoom(s, w)+share(c.idle(w)-w.fill, w)) - harm
+	return roomWeight*(room+share(c.idle(w)-w.fill, w)) - harm
 }
 
 // roomWeight is what calm is worth against the stress that a task adds. The
