--- a/internal/agent/loops.go
+++ b/internal/agent/loops.go
@@ -199,6 +199,7 @@
 	b := wire.Beat{
 		Cell:    a.proc.Worker.Cell,
 		Worker:  a.proc.Worker.Name,
+		Agent:   a.proc.Name,
 		Zone:    a.proc.Zone,
 		Rack:    a.proc.Worker.Rack,
 		Leaving: a.leaving.Load(),
--- a/internal/cell/operate.go
+++ b/internal/cell/operate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"sort"
 	"time"
 
@@ -159,11 +160,13 @@
 	Ended    int64  `json:"ended"`
 }
 
-// Jobs lists the jobs of the cell by name.
+// Jobs lists the jobs of the cell by name. A job counts as ended once its end
+// is committed.
 func (c *Core) Jobs() []Job {
 	out := make([]Job, 0, len(c.led.Jobs))
+	unsettled := c.unsettled()
 	for _, j := range c.led.Jobs {
-		out = append(out, view(j))
+		out = append(out, view(j, unsettled[j.Spec.Name] == 0))
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
 	return out
@@ -175,10 +178,10 @@
 	if j == nil {
 		return Job{}, false
 	}
-	return view(j), true
+	return view(j, c.unsettled()[name] == 0), true
 }
 
-func view(j *ledger.Job) Job {
+func view(j *ledger.Job, settled bool) Job {
 	v := Job{
 		Name:     j.Spec.Name,
 		Team:     j.Spec.Team,
@@ -193,7 +196,9 @@
 		Dropped:  j.Dropped,
 		Accepted: j.At,
 		Due:      j.Due(),
-		Ended:    j.Ended,
+	}
+	if settled {
+		v.Ended = j.Ended
 	}
 	v.State = stateOf(j, v)
 	return v
@@ -201,11 +206,11 @@
 
 func stateOf(j *ledger.Job, v Job) string {
 	switch {
-	case j.Ended != 0 && j.Cancelled:
+	case v.Ended != 0 && j.Cancelled:
 		return "cancelled"
-	case j.Ended != 0 && v.Failed+v.Lost > 0:
+	case v.Ended != 0 && v.Failed+v.Lost > 0:
 		return "failed"
-	case j.Ended != 0:
+	case v.Ended != 0:
 		return "done"
 	case j.Cancelled:
 		return "cancelling"
@@ -215,20 +220,45 @@
 	return "running"
 }
 
-// Why returns the records that explain a job, oldest first.
+// Why returns the committed records that explain a job, oldest first.
 func (c *Core) Why(name string) ([]ledger.Record, bool) {
 	j := c.led.Jobs[name]
 	if j == nil {
 		return nil, false
 	}
-	return append([]ledger.Record(nil), j.Notes...), true
+	notes := slices.Clone(settled(j, c.unsettled()))
+	return notes, len(notes) > 0
+}
+
+// settled returns the notes of a job that a successor of this owner would find.
+func settled(j *ledger.Job, unsettled map[string]int) []ledger.Record {
+	return j.Notes[:max(0, len(j.Notes)-unsettled[j.Spec.Name])]
+}
+
+// unsettled counts for each job its newest records that no committed page holds
+// yet.
+func (c *Core) unsettled() map[string]int {
+	out := map[string]int{}
+	count := func(all []ledger.Record) {
+		for _, r := range all {
+			if r.Op != ledger.Drain && r.Op != ledger.Restore {
+				out[r.Name]++
+			}
+		}
+	}
+	if c.inflight != nil {
+		count(c.inflight.Records)
+	}
+	count(c.draft)
+	return out
 }
 
-// WhyWorker returns the records that concern a worker, oldest first.
+// WhyWorker returns the committed records that concern a worker, oldest first.
 func (c *Core) WhyWorker(name string) ([]ledger.Record, bool) {
 	var out []ledger.Record
+	unsettled := c.unsettled()
 	for _, j := range c.led.Jobs {
-		for _, r := range j.Notes {
+		for _, r := range settled(j, unsettled) {
 			if r.Worker == name {
 				out = append(out, r)
 			}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -65,7 +65,7 @@
 // Beat takes a worker's report, or names the process that owns its cell.
 func (p *Peer) Beat(b wire.Beat, out *wire.Orders) error {
 	e := p.entry
-	e.heardOf(b.Worker, b.Version)
+	e.heardOf(b.Agent, b.Version)
 	a, _ := e.setup.Now()
 	o := e.owner(b.Cell)
 	if o == nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -164,8 +164,11 @@
 type Beat struct {
 	Cell   string
 	Worker string
-	Zone   string
-	Rack   string
+	// Agent is the name of the reporting agent, under which it also announces
+	// its minion.
+	Agent string
+	Zone  string
+	Rack  string
 	// Leaving says that the worker is to be emptied.
 	Leaving bool
 	plat.Report
