--- a/internal/cell/operate.go
+++ b/internal/cell/operate.go
@@ -172,13 +172,14 @@
 	return out
 }
 
-// Job returns one job of the cell.
+// Job returns one job of the cell as decided, even if that is not committed
+// yet.
 func (c *Core) Job(name string) (Job, bool) {
 	j := c.led.Jobs[name]
 	if j == nil {
 		return Job{}, false
 	}
-	return view(j, c.unsettled()[name] == 0), true
+	return view(j, true), true
 }
 
 func view(j *ledger.Job, settled bool) Job {
