intake, front, sched: lasting jobs that would take the room of others are sent away

Change: the owner is asked before a lasting job is stored. A service keeps up to a third of its processors for the other work that it lately saw; a job beyond that gets 503 with a time to return from the rate at which room comes up, in the order of asking. The refusal is a row: a write that would accept the job and is still on its way can't take effect, and a repeat of an accepted job is answered as before. Without an answer of the owner jobs are accepted as before.

--- /dev/null
+++ b/internal/front/decline_test.go
@@ -0,0 +1,110 @@
+package front
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lagoonrack/internal/clock"
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/sched"
+	"lagoonrack/internal/tally"
+	"lagoonrack/internal/work"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "an entry's writes")
+}
+
+// table is a store of rows in memory. Writes listed in lost take effect without
+// an answer.
+type table struct {
+	rows    map[string]plat.Row
+	version uint64
+	lost    int
+}
+
+func (t *table) commit(_ context.Context, txn plat.Txn) (plat.Stamp, error) {
+	for _, c := range txn.Checks {
+		if t.rows[c.Key].Version != c.Version {
+			return plat.Stamp{}, plat.ErrConflict
+		}
+	}
+	t.version++
+	for _, w := range txn.Writes {
+		t.rows[w.Key] = plat.Row{Key: w.Key, Value: w.Value, Version: t.version}
+	}
+	if t.lost > 0 {
+		t.lost--
+		return plat.Stamp{}, plat.ErrDown
+	}
+	return plat.Stamp{Version: t.version}, nil
+}
+
+func (t *table) read(_ context.Context, key string) (plat.Row, plat.Stamp, error) {
+	return t.rows[key], plat.Stamp{Version: t.version}, nil
+}
+
+// newFront returns an entry on a table, without peers.
+func newFront(t *table) *Front {
+	ctx := context.Background()
+	return &Front{Rows: plat.Rows{Read: t.read, Commit: t.commit}, Clock: clock.New(), Tally: &tally.Set{}, ctx: ctx}
+}
+
+var _ = Describe("a job that is sent away", func() {
+	var rows *table
+	var f *Front
+	job := work.Job{ID: "00000000000000a1", Queue: "q", Service: "s", Steps: []work.Step{{Count: 1, Lasts: true}}}
+	key := sched.JobKey(job.ID)
+	BeforeEach(func() {
+		rows = &table{rows: map[string]plat.Row{}}
+		f = newFront(rows)
+	})
+	accept := func() Outcome {
+		data, err := work.Encode(job)
+		Expect(err).NotTo(HaveOccurred())
+		return f.write(context.Background(), key, data, wasRefused)
+	}
+	shown := func() string {
+		s, err := f.readState(context.Background(), job.ID)
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+
+	It("is not known, and may be handed in again", func() {
+		Expect(f.decline(context.Background(), job, 3*time.Second)).To(Equal(Outcome{Fate: Refused, Reason: "full", After: 3 * time.Second}))
+		Expect(shown()).To(BeEmpty())
+		Expect(accept().Fate).To(Equal(Written))
+		Expect(shown()).To(Equal("queued"))
+	})
+	It("is not accepted by a write that was on its way", func() {
+		Expect(f.decline(context.Background(), job, time.Second).Fate).To(Equal(Refused))
+		data, err := work.Encode(job)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = rows.commit(context.Background(), plat.Txn{Checks: []plat.Check{{Key: key}}, Writes: []plat.Write{{Key: key, Value: data}}})
+		Expect(err).To(MatchError(plat.ErrConflict))
+		Expect(shown()).To(BeEmpty())
+	})
+	It("stays accepted if it was before", func() {
+		Expect(accept().Fate).To(Equal(Written))
+		Expect(f.decline(context.Background(), job, time.Second).Fate).To(Equal(Stored))
+		Expect(shown()).To(Equal("queued"))
+	})
+	It("is refused once although an answer was lost", func() {
+		rows.lost = 1
+		Expect(f.decline(context.Background(), job, time.Second).Fate).To(Equal(Refused))
+		Expect(rows.version).To(Equal(uint64(1)))
+	})
+	It("replaces an earlier refusal, so that a write over that one can't take effect", func() {
+		Expect(f.decline(context.Background(), job, time.Second).Fate).To(Equal(Refused))
+		old := rows.rows[key].Version
+		again := job
+		again.At = 5
+		Expect(f.decline(context.Background(), again, time.Second).Fate).To(Equal(Refused))
+		Expect(rows.rows[key].Version).To(BeNumerically(">", old))
+	})
+})
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -18,7 +19,7 @@
 
 // The fates of a change.
 const (
-	// Stored says that the change is stored.
+	// Stored says that the change is stored, maybe by an earlier call.
 	Stored Fate = iota
 	// Refused says that it is not and never will be.
 	Refused
@@ -26,6 +27,8 @@
 	Missing
 	// Doubtful says that it may be stored, now or a little later.
 	Doubtful
+	// Written says that this call stored the change. Callers see Stored.
+	Written
 )
 
 // Outcome is the answer to a caller.
@@ -59,14 +62,15 @@
 	if err != nil {
 		return f.reject(j, "invalid", 0, err)
 	}
+	if a := f.admit(ctx, j); a.Refused {
+		return f.decline(ctx, j, time.Duration(a.After)*time.Millisecond)
+	}
 	began := f.Clock.Now()
-	out := f.write(ctx, plat.Txn{
-		Checks: []plat.Check{{Key: sched.JobKey(j.ID)}},
-		Writes: []plat.Write{{Key: sched.JobKey(j.ID), Value: data}},
-	})
+	out := f.write(ctx, sched.JobKey(j.ID), data, wasRefused)
 	took := f.Clock.Now() - began
 	switch out.Fate {
-	case Stored:
+	case Stored, Written:
+		out.Fate = Stored
 		f.Tally.Inc("lagoon_jobs_accepted_total")
 		f.Tally.Seconds(took.Seconds(), "lagoon_accept_seconds")
 		f.Log.Info(logs.Accepted, logs.Fields{"job": j.ID, "queue": j.Queue, "steps": len(j.Steps), "ms": took.Milliseconds()})
@@ -80,6 +84,54 @@
 	return out
 }
 
+// admit asks the owner whether a job should be accepted. Without an answer it
+// is: the owner can only say what is better for all.
+func (f *Front) admit(ctx context.Context, j work.Job) work.Admission {
+	if !j.Lasting() {
+		return work.Admission{}
+	}
+	if a, err := f.leader.Admit(j); err == nil {
+		return a
+	}
+	addr, _ := f.leader.Owner()
+	if addr == "" || addr == f.server.Addr() {
+		return work.Admission{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var a work.Admission
+	if err := f.pool.Get(addr).Call(ctx, work.EntryService+".Admit", j, &a); err != nil {
+		f.Tally.Inc("lagoon_owner_untold_total", "step", "Admit")
+		f.Log.Info(logs.PeerLost, logs.Fields{"owner": addr, "step": "Admit", "job": j.ID, "error": err.Error()})
+		return work.Admission{}
+	}
+	return a
+}
+
+// decline sends a job away for good: its row says so, and an earlier write that
+// would accept it can't take effect any more. The fate is Stored if the job was
+// accepted before.
+func (f *Front) decline(ctx context.Context, j work.Job, after time.Duration) Outcome {
+	data, err := work.Encode(work.Job{ID: j.ID, Queue: j.Queue, Service: j.Service, At: j.At, Refused: true})
+	if err != nil {
+		return f.reject(j, "invalid", 0, err)
+	}
+	switch out := f.write(ctx, sched.JobKey(j.ID), data, wasRefused); out.Fate {
+	case Written:
+		return f.reject(j, "full", after, nil)
+	case Refused:
+		return f.reject(j, out.Reason, out.After, nil)
+	default:
+		return out
+	}
+}
+
+// wasRefused reports whether a row says that its job was sent away.
+func wasRefused(row plat.Row) bool {
+	var j work.Job
+	return work.Decode(row.Value, &j) == nil && j.Refused
+}
+
 func (f *Front) reject(j work.Job, reason string, after time.Duration, err error) Outcome {
 	f.Tally.Inc("lagoon_job_refusals_total", "reason", reason)
 	fields := logs.Fields{"job": j.ID, "queue": j.Queue, "reason": reason, "after": after.Milliseconds()}
@@ -91,29 +143,46 @@
 	return Outcome{Fate: Refused, Reason: reason, After: after}
 }
 
-// write repeats a transaction that creates a row until its fate is certain or
-// the caller's time is over. A conflict means that the row is there.
-func (f *Front) write(ctx context.Context, txn plat.Txn) Outcome {
+// write creates a row, or replaces one that may be, and repeats that until its
+// fate is certain or the caller's time is over. The fate is Written if the row
+// holds the value, and Stored if another one is there that stays.
+func (f *Front) write(ctx context.Context, key string, value []byte, may func(plat.Row) bool) Outcome {
 	began := f.Clock.Now()
 	doubt := false
+	var version uint64
 	for {
 		c, cancel := context.WithTimeout(ctx, tryTimeout)
-		s, err := f.commit(c, txn)
+		s, err := f.commit(c, plat.Txn{
+			Checks: []plat.Check{{Key: key, Version: version}},
+			Writes: []plat.Write{{Key: key, Value: value}},
+		})
+		if errors.Is(err, plat.ErrConflict) {
+			var row plat.Row
+			if row, err = f.read(c, key); err == nil && row.Version != 0 && (!may(row) || bytes.Equal(row.Value, value)) {
+				cancel()
+				return present(row, value)
+			}
+			if err == nil {
+				version, err = row.Version, plat.ErrConflict
+			}
+			// The row is there, so the caller can't be told that nothing is.
+			doubt = true
+		}
 		cancel()
 		switch {
 		case err == nil:
 			f.stamped(s)
-			return Outcome{Fate: Stored}
-		case errors.Is(err, plat.ErrConflict):
-			return Outcome{Fate: Stored}
+			return Outcome{Fate: Written}
 		case !errors.Is(err, plat.ErrRefused):
 			doubt = true
 		}
-		f.storeFailed("write row", err)
-		if !doubt && f.Clock.Now()-began > refuseAfter {
-			return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+		if !errors.Is(err, plat.ErrConflict) {
+			f.storeFailed("write row", err)
+			if !doubt && f.Clock.Now()-began > refuseAfter {
+				return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+			}
+			clock.Sleep(ctx, tryPause)
 		}
-		clock.Sleep(ctx, tryPause)
 		if ctx.Err() != nil {
 			if doubt {
 				return Outcome{Fate: Doubtful}
@@ -123,6 +192,14 @@
 	}
 }
 
+// present tells a row of an earlier try of the same write from another.
+func present(row plat.Row, value []byte) Outcome {
+	if bytes.Equal(row.Value, value) {
+		return Outcome{Fate: Written}
+	}
+	return Outcome{Fate: Stored}
+}
+
 // tellSubmit tells the owner of a job. If that fails the owner reads the row.
 func (f *Front) tellSubmit(j work.Job) {
 	if f.leader.Submit(j) == nil {
@@ -160,10 +237,10 @@
 	if !found {
 		return Outcome{Fate: Missing}
 	}
-	out := f.write(ctx, plat.Txn{
-		Checks: []plat.Check{{Key: sched.CancelKey(id)}},
-		Writes: []plat.Write{{Key: sched.CancelKey(id), Value: []byte{1}}},
-	})
+	out := f.write(ctx, sched.CancelKey(id), []byte{1}, never)
+	if out.Fate == Written {
+		out.Fate = Stored
+	}
 	if out.Fate == Stored {
 		f.Tally.Inc("lagoon_jobs_cancelled_total")
 		f.Log.Info(logs.Withdrawn, logs.Fields{"job": id})
@@ -172,6 +249,9 @@
 	return out
 }
 
+// never says that a row that is there stays.
+func never(plat.Row) bool { return false }
+
 // exists reports whether a job is stored. It is read until the store answers or
 // the caller's time is over.
 func (f *Front) exists(ctx context.Context, id string) (bool, error) {
@@ -183,7 +263,7 @@
 		row, err := f.read(c, sched.JobKey(id))
 		cancel()
 		if err == nil {
-			return row.Version != 0, nil
+			return row.Version != 0 && !wasRefused(row), nil
 		}
 		f.storeFailed("read job", err)
 		clock.Sleep(ctx, 2*tryPause)
@@ -243,7 +323,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	row, err := f.read(ctx, sched.JobKey(id))
-	if err != nil || row.Version == 0 {
+	if err != nil || row.Version == 0 || wasRefused(row) {
 		return "", err
 	}
 	var st work.State
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -293,6 +293,13 @@
 	return err
 }
 
+// Admit asks the owner whether a job should be accepted.
+func (p *Peer) Admit(j work.Job, out *work.Admission) error {
+	a, err := p.front.leader.Admit(j)
+	*out = a
+	return err
+}
+
 // Submit tells the owner of a stored job.
 func (p *Peer) Submit(j work.Job, _ *work.Pong) error { return p.front.leader.Submit(j) }
 
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -32,6 +32,17 @@
 	return nil
 }
 
+// Admit reports whether a job that is not stored yet should be accepted.
+func (l *Leader) Admit(j work.Job) (work.Admission, error) {
+	t := l.current()
+	if t == nil {
+		return work.Admission{}, ErrNotOwner
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return t.core.Admit(l.Clock.Now(), j), nil
+}
+
 // Cancel tells the owner of a withdrawal that is stored.
 func (l *Leader) Cancel(id string) error {
 	t := l.current()
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -117,7 +117,7 @@
 	for _, k := range f.Keys {
 		writes = append(writes, plat.Write{Key: k})
 	}
-	if _, err := l.Rows.Commit(ctx, plat.Txn{Writes: writes}); err != nil {
+	if _, err := l.Rows.Commit(ctx, plat.Txn{Checks: f.Checks, Writes: writes}); err != nil && !errors.Is(err, plat.ErrConflict) {
 		l.failed("forget", err)
 	}
 }
@@ -298,5 +298,9 @@
 		l.failed("decode job", err)
 		return
 	}
+	if j.Refused {
+		l.step(t, sched.Refuse{ID: j.ID, Version: r.Version, At: j.At})
+		return
+	}
 	l.step(t, sched.Submit{Job: j})
 }
--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -90,6 +90,10 @@
 		if err := work.Decode(r.Value, &j); err != nil {
 			return found, stamp, err
 		}
+		if j.Refused {
+			found.Refused = append(found.Refused, sched.Refuse{ID: j.ID, Version: r.Version, At: j.At})
+			continue
+		}
 		found.Jobs = append(found.Jobs, j)
 	}
 	return found, stamp, nil
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -21,6 +21,7 @@
 	"strings"
 	"time"
 
+	"lagoonrack/internal/intake"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
 	"lagoonrack/internal/work"
@@ -61,8 +62,16 @@
 	out     []*worker
 	learned table
 	press   press.Table
-	advice  advisor
-	purged  time.Duration
+	// gates decide on lasting jobs, by service, and declined holds the rows of
+	// jobs that were sent away.
+	gates    map[string]*intake.Gate
+	declined map[string]Refuse
+	// granted holds lasting jobs that may be accepted and are not known yet.
+	granted map[string]grant
+	// began is when the term did.
+	began  time.Duration
+	advice advisor
+	purged time.Duration
 	// vacated is when a worker was emptied of serving tasks last.
 	vacated time.Duration
 	// saved is when what was learned was stored last.
@@ -74,6 +83,8 @@
 	Jobs    []work.Job
 	States  map[string]work.State
 	Cancels []string
+	// Refused lists the jobs that were sent away.
+	Refused []Refuse
 	// Learned is what the last owner left.
 	Learned []byte
 }
@@ -82,15 +93,19 @@
 // is what the store's clock shows at time zero.
 func New(l Limits, term uint64, now, ahead time.Duration, found Found, config *work.Config) *Core {
 	c := &Core{
-		limits:  l.WithDefaults(),
-		term:    term,
-		now:     now,
-		ahead:   ahead,
-		jobs:    map[string]*job{},
-		workers: map[string]*worker{},
-		agents:  map[string]*worker{},
-		cancels: map[string]bool{},
-		moved:   true,
+		limits:   l.WithDefaults(),
+		term:     term,
+		now:      now,
+		ahead:    ahead,
+		jobs:     map[string]*job{},
+		workers:  map[string]*worker{},
+		agents:   map[string]*worker{},
+		cancels:  map[string]bool{},
+		gates:    map[string]*intake.Gate{},
+		declined: map[string]Refuse{},
+		granted:  map[string]grant{},
+		began:    now,
+		moved:    true,
 	}
 	c.configure(config)
 	c.remember(found.Learned)
@@ -101,6 +116,9 @@
 	for _, id := range found.Cancels {
 		c.cancel(id)
 	}
+	for _, r := range found.Refused {
+		c.refuse(r)
+	}
 	return c
 }
 
@@ -112,6 +130,8 @@
 	switch e := e.(type) {
 	case Submit:
 		c.submit(e.Job)
+	case Refuse:
+		c.refuse(e)
 	case Cancel:
 		c.cancel(e.ID)
 	case Report:
@@ -272,6 +292,7 @@
 		return
 	}
 	c.purged = c.now
+	c.purgeRefused()
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[id]
 		if j.ended == 0 || c.clock()-j.ended < c.limits.Keep.Milliseconds() || len(j.places) > 0 {
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -13,6 +13,15 @@
 // Submit tells of a job whose row is stored.
 type Submit struct{ Job work.Job }
 
+// Refuse tells that the row of a job says it was sent away.
+type Refuse struct {
+	ID string
+	// Version is the row's, and At when it was written, in milliseconds of the
+	// store's clock.
+	Version uint64
+	At      int64
+}
+
 // Cancel tells that the withdrawal of a job is stored.
 type Cancel struct{ ID string }
 
@@ -45,6 +54,7 @@
 type Tick struct{}
 
 func (Submit) event()    {}
+func (Refuse) event()    {}
 func (Cancel) event()    {}
 func (Report) event()    {}
 func (Results) event()   {}
@@ -62,8 +72,12 @@
 	Writes []plat.Write
 }
 
-// Forget removes rows of one part that nobody needs any more.
-type Forget struct{ Keys []string }
+// Forget removes rows of one part that nobody needs any more, if the checks
+// hold.
+type Forget struct {
+	Keys   []string
+	Checks []plat.Check
+}
 
 // Send passes an order to an agent.
 type Send struct {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -215,6 +215,7 @@
 	if c.jobs[spec.ID] != nil {
 		return
 	}
+	delete(c.declined, spec.ID)
 	j := c.enter(spec)
 	c.emit(Note{Kind: "job", Job: j.ID, Reason: j.Queue})
 	c.moved = true
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -28,6 +28,7 @@
 	config  *work.Config
 	workers []*bench
 	notes   []sched.Note
+	forgets []sched.Forget
 	states  map[string]work.State
 }
 
@@ -99,6 +100,8 @@
 			s.step(sched.Committed{Seq: f.Seq})
 		case sched.Send:
 			s.carryOut(f)
+		case sched.Forget:
+			s.forgets = append(s.forgets, f)
 		case sched.Note:
 			s.notes = append(s.notes, f)
 		}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -236,6 +236,7 @@
 		}
 	}
 	c.retire()
+	c.watchGates()
 	c.vacate()
 	c.purge()
 	c.moved = true
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -170,6 +170,14 @@
 	Pending map[string]int
 }
 
+// Admission is the owner's answer to a job that is not accepted yet.
+type Admission struct {
+	// Refused says that the job should be sent away, to come back after so many
+	// milliseconds.
+	Refused bool  `cbor:"1,keyasint"`
+	After   int64 `cbor:"2,keyasint"`
+}
+
 // Press is how much a filling image disturbs a serving one: the stress that it
 // adds for each share of the worker's processors.
 type Press struct {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -31,6 +31,24 @@
 	// between two, in milliseconds since 1970 and milliseconds.
 	First int64 `cbor:"8,keyasint,omitempty"`
 	Every int64 `cbor:"9,keyasint,omitempty"`
+	// Refused says that the job was sent away. The row stands in the way of
+	// writes that would accept the job and are still on their way; only a new
+	// submission replaces it.
+	Refused bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Lasting reports whether the job's tasks run until it is cancelled.
+func (j *Job) Lasting() bool { return len(j.Steps) > 0 && j.Steps[0].Lasts }
+
+// Reserved is what all tasks of the job take of a service's capacity.
+func (j *Job) Reserved() vect.Size {
+	var sum vect.Size
+	for _, s := range j.Steps {
+		for range s.Count {
+			sum = sum.Add(s.Reserved())
+		}
+	}
+	return sum
 }
 
 // Step is a set of equal tasks.
