--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,13 +12,17 @@
 // earlier ones still run, until they hold all processors of a service.
 package intake
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Gate follows one service. The zero value has seen nothing and takes every job.
 type Gate struct {
 	load Load
-	// others is the highest demand of other work, which fades with time.
-	others float64
+	// prior is the share that is kept for work that may come and was not seen yet,
+	// and others the highest demand of other work; both fade with time.
+	prior, others float64
 	// freed is the room that came up lately, which fades with time.
 	freed    float64
 	at       time.Duration
@@ -56,28 +60,24 @@
 func (g *Gate) Observe(now time.Duration, l Load) {
 	if !g.seen && l.Size > 0 {
 		g.seen = true
-		g.others = mostKept * float64(l.Size)
+		g.prior = mostKept
 		g.at = now
 		g.load = l
 	}
 	left := half(now - g.at)
+	g.prior *= left
 	g.others = max(float64(l.Others), g.others*left)
 	g.freed = g.freed*left + float64(max(0, g.load.Lasting-l.Lasting))
 	g.load, g.at = l, now
 }
 
 // half is what is left after a span of something that fades.
-func half(d time.Duration) float64 {
-	// A first-order step is enough: spans are short against fade.
-	return max(0, 1-ln2*d.Seconds()/fade.Seconds())
-}
-
-const ln2 = 0.693
+func half(d time.Duration) float64 { return math.Exp2(-d.Seconds() / fade.Seconds()) }
 
 // Room is what lasting jobs may still take.
 func (g *Gate) Room() int64 {
 	size := float64(g.load.Size)
-	kept := min(mostKept*size, max(leastKept*size, g.others))
+	kept := min(mostKept*size, max(leastKept*size, g.prior*size, g.others))
 	return int64(size-kept) - g.load.Lasting
 }
 
@@ -103,5 +103,5 @@
 // rate is the room that comes up in a second.
 func (g *Gate) rate() float64 {
 	usual := float64(g.load.Lasting) / stay.Seconds()
-	return max(1, usual, g.freed*ln2/fade.Seconds())
+	return max(1, usual, g.freed*math.Ln2/fade.Seconds())
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -44,6 +44,14 @@
 		asks(g, now, 40, true)
 		asks(g, now, 60, false)
 	})
+	It("keeps as much while its workers are still being heard", func() {
+		g := &intake.Gate{}
+		for i := range int64(8) {
+			g.Observe(time.Duration(i)*time.Second, intake.Load{Size: 100 * (i + 1) * cores})
+		}
+		asks(g, 8*time.Second, 700, false)
+		asks(g, 8*time.Second, 500, true)
+	})
 	It("gives a service to lasting jobs that has no other work", func() {
 		g, now := busy(500, 0, 10*time.Minute)
 		asks(g, now, 240, true)
