sched: runs without headway go on elsewhere, copies where a step allows them

Change: a run that shows the same percent for 1.2 s is stopped and starts elsewhere; it counts against the worker, not against the task. A run that is expected to still need 1.3 times the usual work gets one copy where the step allows it.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -107,6 +107,8 @@
 	// starved is since when a run that fills gets little of what it asks for,
 	// or 0.
 	starved time.Duration
+	// still is when the worker first listed the present percent.
+	still time.Duration
 	// unseen counts the lists without the run since it was confirmed.
 	unseen int
 	ticket string
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -83,6 +83,11 @@
 	if p.worked == 0 {
 		p.worked = p.okay
 	}
+	if p != p.task.places[0] {
+		// Only the first of several copies counts.
+		p.worked = c.now
+		return
+	}
 	speed := 1.0
 	if s := p.task.step; s.Fills && s.Size.Cores > 0 {
 		speed = min(1, float64(p.figure)/float64(s.Size.Cores))
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -328,10 +328,12 @@
 	if r.Saved != "" {
 		p.saved = r.Saved
 	}
+	before := p.percent
 	p.percent = r.Percent
 	p.figure = r.Figure
 	c.advance(p)
 	c.starve(p)
+	c.watchHeadway(p, before)
 }
 
 // stray ends a run that nothing is known of: its place was given up, or it was
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -58,6 +58,10 @@
 		w := c.worker(ps.Life, ps.Agent)
 		w.until = max(w.until, c.now+c.limits.lapse())
 		p := &place{task: t, run: ps.Run, worker: w, stored: true, adopted: true, unsure: true, sent: c.now + 1, saved: t.saved}
+		if t.done || j.failed {
+			// Another copy has ended, or the job needs nothing any more.
+			p.stop = "copy"
+		}
 		w.add(p)
 		t.places = append(t.places, p)
 		j.places[p] = true
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -237,6 +237,7 @@
 	}
 	c.retire()
 	c.watchGates()
+	c.copyLate()
 	c.vacate()
 	c.purge()
 	c.moved = true
