leader, front: an owner that the store turns away goes on through others

Ruled out: a shorter CutAfter, which takes owners down that are only slow. Change: the owner's transactions go through other entries while the store refuses its own, as callers' writes do. Claims still need the store itself.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,6 +96,7 @@
 		Name:   f.Name,
 		Addr:   s.Addr(),
 		Rows:   f.Rows,
+		Via:    plat.Rows{Read: f.readStamped, Commit: f.commit},
 		Clock:  f.Clock,
 		Log:    f.Log,
 		Tally:  f.Tally,
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -151,6 +151,11 @@
 	return r.Row, err
 }
 
+func (f *Front) readStamped(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
+	row, err := f.read(ctx, key)
+	return row, plat.Stamp{}, err
+}
+
 // relay has other entries make a call of the store. The error is
 // plat.ErrRefused only if none of them can have made it.
 func (f *Front) relay(ctx context.Context, method string, arg any) (Relayed, error) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -32,10 +32,15 @@
 type Leader struct {
 	Name, Addr string
 	Rows       plat.Rows
-	Clock      clock.Clock
-	Log        logs.Log
-	Tally      *tally.Set
-	Limits     sched.Limits
+	// Via is the store through other entries where it turns this one away; only
+	// Read and Commit are used. A process claims by Rows alone, so that none
+	// takes the cell over that the store does not serve. Without Via, Rows is
+	// used.
+	Via    plat.Rows
+	Clock  clock.Clock
+	Log    logs.Log
+	Tally  *tally.Set
+	Limits sched.Limits
 	// Config returns the configuration in force, or nil.
 	Config func() *work.Config
 	// Rank is this process's place among the candidates that are alive.
@@ -99,6 +104,9 @@
 // first.
 func (l *Leader) Run(ctx context.Context) {
 	l.asked = make(chan struct{}, 1)
+	if l.Via.Commit == nil {
+		l.Via = l.Rows
+	}
 	var last time.Duration
 	for ctx.Err() == nil {
 		now := l.Clock.Now()
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -223,7 +223,7 @@
 func (l *Leader) attempt(t *term, seq uint64, writes []plat.Write) (bool, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
-	s, err := l.Rows.Commit(ctx, plat.Txn{
+	s, err := l.Via.Commit(ctx, plat.Txn{
 		Checks: []plat.Check{{Key: titleKey, Version: t.title.Version}, {Key: markKey, Version: t.mark.Version}},
 		Writes: writes,
 	})
@@ -240,7 +240,7 @@
 // compare finds out after a conflict whether the cell is lost or an earlier
 // attempt took effect.
 func (l *Leader) compare(ctx context.Context, t *term, seq uint64) (bool, error) {
-	now, row, _, err := readRow[title](ctx, l.Rows, titleKey)
+	now, row, _, err := readRow[title](ctx, l.Via, titleKey)
 	if err != nil {
 		return false, err
 	}
@@ -248,7 +248,7 @@
 		l.saw(now)
 		return false, errDeposed
 	}
-	m, row, _, err := readRow[mark](ctx, l.Rows, markKey)
+	m, row, _, err := readRow[mark](ctx, l.Via, markKey)
 	if err != nil {
 		return false, err
 	}
