sched: urgent tasks get the room of work that can wait

Cause: a queue's priority decided the order, but a service full of work of a lower one kept urgent tasks waiting until that ended by itself.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -36,6 +36,8 @@
 type occ struct {
 	k     int
 	steps []*step
+	// readyAt is when a step came to its turn last.
+	readyAt time.Duration
 }
 
 // step is one occurrence of a step.
@@ -129,7 +131,7 @@
 func (j *job) over() bool { return j.failed || j.cancelled || j.complete }
 
 func newOcc(j *job, k int, now time.Duration) *occ {
-	o := &occ{k: k}
+	o := &occ{k: k, readyAt: now}
 	for i := range j.Steps {
 		s := &step{Step: &j.Steps[i], job: j, k: k, index: i, left: j.Steps[i].Count}
 		s.tasks = make([]*task, s.Count)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -228,10 +228,22 @@
 			c.stop(q, "copy")
 		}
 	}
+	if t.step.left == 0 {
+		c.turn(t.step)
+	}
 	c.touch(t.step.job)
 	c.settle(t.step.job)
 }
 
+// turn notes that steps may have come to their turn because one is done.
+func (c *Core) turn(s *step) {
+	for _, o := range s.job.occs {
+		if o.k == s.k {
+			o.readyAt = c.now
+		}
+	}
+}
+
 const defaultAttempts = 3
 
 func (c *Core) attempts(j *job) int {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -238,6 +238,7 @@
 	c.retire()
 	c.watchGates()
 	c.copyLate()
+	c.preempt()
 	c.vacate()
 	c.purge()
 	c.moved = true
