sched: due times hold while most clocks jump

Change: the estimate is taken once, goes on by the steady clock, follows slowly, and outlasts the owner with what was learned.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -231,7 +231,7 @@
 	}
 	if c.now-c.saved >= learnedEvery {
 		c.saved = c.now
-		if data, err := work.Encode(learnedRow{Queues: c.learned.queues, Press: c.press.Save()}); err == nil {
+		if data, err := work.Encode(c.learnt()); err == nil {
 			w = append(w, plat.Write{Key: LearnedKey, Value: data})
 		} else {
 			c.emit(Note{Kind: "unsaved", Reason: err.Error()})
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -25,6 +25,18 @@
 type learnedRow struct {
 	Queues map[string]times `cbor:"1,keyasint"`
 	Press  press.Saved      `cbor:"2,keyasint"`
+	// Day is how far the time of day is ahead of the store's clock, in
+	// milliseconds, or 0 if that is not known.
+	Day int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// learnt is what this owner leaves to the next.
+func (c *Core) learnt() learnedRow {
+	row := learnedRow{Queues: c.learned.queues, Press: c.press.Save()}
+	if c.unix.set {
+		row.Day = (c.unix.base - c.ahead).Milliseconds()
+	}
+	return row
 }
 
 // ended takes in a task that ended well, after so much work at full speed.
@@ -139,4 +151,7 @@
 	}
 	c.learned.queues = row.Queues
 	c.press.Load(row.Press)
+	if row.Day != 0 {
+		c.unix.start(time.Duration(row.Day)*time.Millisecond + c.ahead)
+	}
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -23,7 +23,7 @@
 		return
 	}
 	w := c.worker(e.Worker.Life, e.Agent)
-	c.unix.add(e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
+	c.unix.add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
 	c.succeed(w)
 	fresh := !w.known || w.Leaving != e.Worker.Leaving
 	w.Worker = e.Worker
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -30,8 +30,14 @@
 	notes   []sched.Note
 	forgets []sched.Forget
 	states  map[string]work.State
+	// day is what each worker's time of day is ahead of its true one.
+	day     map[*bench]time.Duration
+	learned []byte
 }
 
+// unix is the true time of day.
+func (s *site) unix() time.Duration { return 1_000_000*time.Hour + s.now }
+
 // bench is a worker with its agent.
 type bench struct {
 	work.Worker
@@ -58,7 +64,7 @@
 
 // newSite returns a site with workers of the given numbers of cores.
 func newSite(queues []work.Queue, sizes ...int64) *site {
-	s := &site{config: &work.Config{Version: 1, Queues: queues}, states: map[string]work.State{}}
+	s := &site{config: &work.Config{Version: 1, Queues: queues}, states: map[string]work.State{}, day: map[*bench]time.Duration{}}
 	s.core = sched.New(sched.Limits{}, 1, 0, 0, sched.Found{}, s.config)
 	for i, n := range sizes {
 		s.workers = append(s.workers, &bench{
@@ -85,7 +91,7 @@
 }
 
 func (s *site) report(w *bench) {
-	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Ends: slices.Clone(w.ends), Word: work.Word{Process: 1, Sent: s.now}}
+	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Unix: (s.unix() + s.day[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.Word{Process: 1, Sent: s.now}}
 	for _, k := range slices.SortedFunc(maps.Keys(w.runs), func(a, b work.Run) int { return int(a.Num - b.Num) }) {
 		x := w.runs[k]
 		r.Running = append(r.Running, work.Running{Run: k, Percent: x.percent, Figure: x.figure})
@@ -97,6 +103,11 @@
 	for _, f := range slices.Clone(s.core.Step(s.now, e)) {
 		switch f := f.(type) {
 		case sched.Commit:
+			for _, w := range f.Writes {
+				if w.Key == sched.LearnedKey {
+					s.learned = w.Value
+				}
+			}
 			s.step(sched.Committed{Seq: f.Seq})
 		case sched.Send:
 			s.carryOut(f)
