--- a/internal/scene/scene_test.go
+++ b/internal/scene/scene_test.go
@@ -6,8 +6,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +13,7 @@
 
 	"lagoonrack/internal/ctlcmd"
 	"lagoonrack/internal/loadcmd"
+	"lagoonrack/internal/ports"
 	"lagoonrack/internal/prog"
 )
 
@@ -28,8 +27,8 @@
 	})
 }
 
-// ports is the number of free ports that each script may name.
-const ports = 16
+// portsEach is the number of free ports that each script may name.
+const portsEach = 16
 
 func TestScenes(t *testing.T) {
 	testscript.Run(t, testscript.Params{
@@ -44,29 +43,16 @@
 	})
 }
 
-// nextPort is the last port that was given out. The range lies below the one
-// from which the system takes ports for outgoing connections and for port 0, so
-// that no connection of another script takes a port before its process does.
-var nextPort atomic.Int32
-
-const firstPort = 20_000
-
-// freePort returns a port that no script was given before.
-func freePort() string {
-	for {
-		port := strconv.Itoa(firstPort + int(nextPort.Add(1)))
-		l, err := net.Listen("tcp", "127.0.0.1:"+port)
-		if err == nil {
-			_ = l.Close()
-			return port
-		}
-	}
-}
+var free = ports.Range{First: ports.Scene}
 
 // setup names free ports P0 and up, and copies the example settings.
 func setup(e *testscript.Env) error {
-	for i := range ports {
-		e.Setenv(portName(i), freePort())
+	for i := range portsEach {
+		_, port, err := net.SplitHostPort(free.Next())
+		if err != nil {
+			return err
+		}
+		e.Setenv(portName(i), port)
 	}
 	files, err := filepath.Glob("../../examples/*.yaml")
 	if err != nil {
