front: the longer the store is away, the later callers are asked back

Callers were asked back after one second however long an outage lasted; with the few calls that a caller makes that covers 4 s. Now an outage is taken to last as long again as it has so far, between 1 and 3 s, in whole seconds, so that five calls cover 7 s.

--- a/internal/front/decline_test.go
+++ b/internal/front/decline_test.go
@@ -108,3 +108,17 @@
 		Expect(rows.rows[key].Version).To(BeNumerically(">", old))
 	})
 })
+
+var _ = Describe("a caller that is sent away while the store is away", func() {
+	comesBack := func(after time.Duration, want time.Duration) {
+		GinkgoHelper()
+		f := newFront(&table{rows: map[string]plat.Row{}})
+		f.since.Store(int64(f.Clock.Now() - after))
+		Expect(f.outageAfter()).To(Equal(want))
+	}
+	It("comes back soon at first, and later the longer it lasts", func() {
+		comesBack(200*time.Millisecond, time.Second)
+		comesBack(2100*time.Millisecond, 2*time.Second)
+		comesBack(time.Minute, 3*time.Second)
+	})
+})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,8 @@
 	gauge atomic.Int64
 	// turned says that the store has not answered since it failed a call.
 	turned atomic.Bool
+	// since is when the store went away, in nanoseconds of the clock, or 0.
+	since atomic.Int64
 
 	mu    sync.Mutex
 	peers map[string]*peer
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -47,9 +47,9 @@
 	refuseAfter = 45 * time.Millisecond
 	// tryPause is the wait between two tries.
 	tryPause = 15 * time.Millisecond
-	// outageAfter is when a caller should come back that was refused because
-	// the store is away.
-	outageAfter = time.Second
+	// soonest and latest bound when a caller should come back that was refused
+	// because the store is away.
+	soonest, latest = time.Second, 3 * time.Second
 )
 
 // Submit accepts a job, once for each identifier, or refuses it at once.
@@ -179,7 +179,7 @@
 		if !errors.Is(err, plat.ErrConflict) {
 			f.storeFailed("write row", err)
 			if !doubt && f.Clock.Now()-began > refuseAfter {
-				return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+				return Outcome{Fate: Refused, Reason: "store", After: f.outageAfter()}
 			}
 			clock.Sleep(ctx, tryPause)
 		}
@@ -187,7 +187,7 @@
 			if doubt {
 				return Outcome{Fate: Doubtful}
 			}
-			return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+			return Outcome{Fate: Refused, Reason: "store", After: f.outageAfter()}
 		}
 	}
 }
@@ -200,6 +200,17 @@
 	return Outcome{Fate: Stored}
 }
 
+// outageAfter is when a caller should come back while the store is away. An outage
+// is taken to last as long again as it has so far: callers come back soon from a
+// short one, and the few calls that they make outlast a longer one.
+func (f *Front) outageAfter() time.Duration {
+	since := time.Duration(f.since.Load())
+	if since == 0 {
+		return soonest
+	}
+	return min(latest, max(soonest, (f.Clock.Now()-since).Round(time.Second)))
+}
+
 // tellSubmit tells the owner of a job. If that fails the owner reads the row.
 func (f *Front) tellSubmit(j work.Job) {
 	if f.leader.Submit(j) == nil {
@@ -232,7 +243,7 @@
 func (f *Front) Cancel(ctx context.Context, id string) Outcome {
 	found, err := f.exists(ctx, id)
 	if err != nil {
-		return Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+		return Outcome{Fate: Refused, Reason: "store", After: f.outageAfter()}
 	}
 	if !found {
 		return Outcome{Fate: Missing}
@@ -310,7 +321,7 @@
 		f.storeFailed("read state", err)
 		clock.Sleep(ctx, 2*tryPause)
 		if ctx.Err() != nil {
-			return "", Outcome{Fate: Refused, Reason: "store", After: outageAfter}
+			return "", Outcome{Fate: Refused, Reason: "store", After: f.outageAfter()}
 		}
 		if s, err := f.askState(ctx, id); err == nil && s != "" {
 			return s, Outcome{}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -100,6 +100,7 @@
 		return
 	}
 	if !f.turned.Swap(true) {
+		f.since.Store(max(1, int64(f.Clock.Now())))
 		f.Log.Info(logs.StoreAway, logs.Fields{"error": err.Error()})
 		f.loops.Go(func() { f.loopProbe(f.ctx) })
 	}
@@ -116,6 +117,7 @@
 		cancel()
 		if err == nil {
 			f.turned.Store(false)
+			f.since.Store(0)
 			f.Log.Info(logs.StoreUp, logs.Fields{"ms": (f.Clock.Now() - began).Milliseconds()})
 			return
 		}
