elect: an owner gets the time to try again when the store comes back for all

Nobody should change places while the store is away. Change: a claim for that reason waits until the store has answered the claimant for 0.5 s again. Tests: two cases in elect_test, red before.

--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -33,6 +33,8 @@
 	// it has given every answer since.
 	read     time.Duration
 	readable bool
+	// back is when the store answered again after it had given no answer.
+	back time.Duration
 	// invited says that the last owner chose this process as its successor.
 	invited bool
 }
@@ -48,6 +50,10 @@
 	// CutAfter is how long an owner goes on without the store while others can
 	// read it.
 	CutAfter = 800 * time.Millisecond
+	// BackGrace is how long after the store's return an owner may still say that
+	// it has had no answer: it tests the store every 0.1 s and is pinged every
+	// 0.3 s.
+	BackGrace = 500 * time.Millisecond
 	// RankStep keeps candidates apart, so that one claims before the next.
 	RankStep = 200 * time.Millisecond
 	// freshRead is how old this process's own reading of the store may be.
@@ -64,11 +70,14 @@
 
 // Read takes in the title as it was read.
 func (w *Watch) Read(now time.Duration, t Title) {
+	if !w.readable {
+		w.back = now
+	}
 	w.read, w.readable = now, true
 	if w.known && w.term == t.Term && w.vacant == t.Vacant {
 		return
 	}
-	*w = Watch{known: true, term: t.Term, vacant: t.Vacant, mine: t.Mine, since: now, heard: now, others: w.others, read: now, readable: true, invited: w.invited && t.Vacant}
+	*w = Watch{known: true, term: t.Term, vacant: t.Vacant, mine: t.Mine, since: now, heard: now, others: w.others, read: now, readable: true, back: w.back, invited: w.invited && t.Vacant}
 }
 
 // Invite notes that the owner that gives the cell up chose this process.
@@ -116,7 +125,7 @@
 		return "vacant"
 	case w.denied && now-w.resigned >= wait+RankStep:
 		return "not owned"
-	case w.isCut && now-w.cut >= wait:
+	case w.isCut && now-w.cut >= wait && now-w.back >= BackGrace+wait:
 		return "owner without store"
 	case now-w.heard >= SilentAfter+wait && now-w.others >= heardByOthers:
 		return "silent"
--- a/internal/elect/elect_test.go
+++ b/internal/elect/elect_test.go
@@ -83,3 +83,29 @@
 	w.Read(0, elect.Title{Term: 4, Mine: true})
 	NewWithT(t).Expect(w.Claim(0, 5)).To(Equal("own title"))
 }
+
+// Incident inc-10cf of the grown Burgwacht site: the store was away for all for
+// 4.2 s, and as it came back another entry claimed the cell before the owner had
+// tried again.
+func TestStoreComesBackForAll(t *testing.T) {
+	w := watching()
+	w.Heard(900*ms, true, 0)
+	w.Unread()
+	for now := 1000 * ms; now < 5000*ms; now += 300 * ms {
+		w.Heard(now, true, now-900*ms)
+	}
+	claims(t, w, 5000*ms, 0, "")
+	w.Heard(5200*ms, true, 0)
+	claims(t, w, 5600*ms, 0, "")
+}
+
+func TestStoreComesBackForOthersOnly(t *testing.T) {
+	w := watching()
+	w.Unread()
+	for now := 1000 * ms; now < 5600*ms; now += 300 * ms {
+		w.Heard(now, true, now)
+	}
+	claims(t, w, 5000*ms, 0, "")
+	w.Heard(5400*ms, true, 4500*ms)
+	claims(t, w, 5600*ms, 0, "owner without store")
+}
