front: many entries ping one another without counting as gone

With n entries each was pinged every 0.3 s x n/3, which is 1.2 s from 12 on, and counted as gone after 1.2 s: candidates, relays and ranks came and went. Change: every 0.3 s x n/6, and gone after two such spans and a call's time. Test: decline_test (for up to 100 entries); red by construction before.

--- a/internal/front/decline_test.go
+++ b/internal/front/decline_test.go
@@ -144,3 +144,14 @@
 		f.loops.Wait()
 	})
 })
+
+// The grown Ndiaye site has 14 entries: each was pinged every 1.2 s and counted as
+// gone after 1.2 s, so that candidates came and went and 8,477 lines told so.
+var _ = Describe("entries that ping one another", func() {
+	It("are heard twice before they count as gone, however many there are", func() {
+		for n := range 100 {
+			Expect(fresh(n)).To(BeNumerically(">=", 2*gap(n)+peerTimeout), "%d entries", n)
+			Expect(float64(n)*float64(time.Second)/float64(gap(n))).To(BeNumerically("<=", 40), "pings a second, %d entries", n)
+		}
+	})
+})
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -39,12 +39,23 @@
 	// and slowEvery that to entries that give no answer.
 	pingEvery = 300 * time.Millisecond
 	slowEvery = 1500 * time.Millisecond
-	// aliveFor is the silence after which an entry is no candidate.
+	// aliveFor is the silence after which an entry is no candidate, where there
+	// are few.
 	aliveFor = 1200 * time.Millisecond
+	// abreast is the number of entries up to which all are pinged every
+	// pingEvery; of more, each is pinged the less often.
+	abreast = 6
 	// deadAfter is the silence after which an entry is forgotten.
 	deadAfter = 30 * time.Second
 )
 
+// gap is the pace of pings to an entry that is not the owner, if there are n.
+func gap(n int) time.Duration { return pingEvery * time.Duration(max(1, n/abreast)) }
+
+// fresh is the silence after which one of n entries is no candidate: two pings
+// without an answer.
+func fresh(n int) time.Duration { return max(aliveFor, 2*gap(n)+peerTimeout) }
+
 // loopRoster writes this entry's row and reads those of the others.
 func (f *Front) loopRoster(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -133,10 +144,10 @@
 	defer f.mu.Unlock()
 	var out []*peer
 	for _, p := range f.peers {
-		every := pingEvery * time.Duration(max(1, len(f.peers)/3))
+		every := gap(len(f.peers))
 		if p.addr == owner {
 			every = pingEvery
-		} else if now-p.heard > aliveFor {
+		} else if now-p.heard > fresh(len(f.peers)) {
 			every = slowEvery
 		}
 		if !p.busy && now-p.tried >= every {
@@ -175,7 +186,7 @@
 	now := f.Clock.Now()
 	owner, _ := f.leader.Owner()
 	f.mu.Lock()
-	if p.heard < 0 || now-p.heard > aliveFor {
+	if p.heard < 0 || now-p.heard > fresh(len(f.peers)) {
 		f.Log.Info(logs.PeerFound, logs.Fields{"entry": p.addr, "term": pong.Term})
 	}
 	p.Pong, p.heard = pong, now
@@ -218,7 +229,7 @@
 		n = int(weakRanks * max(0, 1-float64(f.Weight)/strongWeight))
 	}
 	for _, p := range f.peers {
-		if now-p.heard > aliveFor || p.Leaving {
+		if now-p.heard > fresh(len(f.peers)) || p.Leaving {
 			continue
 		}
 		if p.Weight > f.Weight || p.Weight == f.Weight && p.addr < f.server.Addr() {
@@ -238,7 +249,7 @@
 		switch {
 		case now-max(p.heard, p.found) > deadAfter:
 			delete(f.peers, addr)
-		case now-p.heard <= aliveFor && !p.Leaving:
+		case now-p.heard <= fresh(len(f.peers)) && !p.Leaving:
 			all = append(all, p)
 		}
 	}
