--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -88,15 +89,12 @@
 		return true, 0
 	}
 	waits := need - max(0, g.Room())
-	kept := g.promises[:0]
+	g.promises = slices.DeleteFunc(g.promises, func(p promise) bool { return p.until <= now })
 	for _, p := range g.promises {
-		if p.until > now {
-			waits += p.cores
-			kept = append(kept, p)
-		}
+		waits += p.cores
 	}
 	after := min(latest, max(soonest, time.Duration(float64(waits)/g.rate()*float64(time.Second))))
-	g.promises = append(kept, promise{now + after, need})
+	g.promises = append(g.promises, promise{now + after, need})
 	return false, after
 }
 
--- a/internal/leader/claim.go
+++ b/internal/leader/claim.go
@@ -31,6 +31,7 @@
 	}
 	l.Log.Info(logs.Owned, logs.Fields{"term": t.number, "reason": why, "ms": (l.Clock.Now() - started).Milliseconds()})
 	l.Tally.Inc("lagoon_takeovers_total", "reason", why)
+	l.Tally.Seconds((l.Clock.Now() - started).Seconds(), "lagoon_takeover_seconds")
 	l.run(ctx, t)
 }
 
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -59,8 +59,17 @@
 	"back":    logs.Restored,
 }
 
+// spans gives the decisions whose time is measured their histograms.
+var spans = map[string]string{
+	"first":    "lagoon_start_seconds",
+	"complete": "lagoon_job_seconds",
+}
+
 func (l *Leader) note(n sched.Note) {
 	l.Tally.Inc("lagoon_decisions_total", "kind", n.Kind, "reason", reason(n))
+	if name := spans[n.Kind]; name != "" && n.Took > 0 {
+		l.Tally.Seconds(n.Took.Seconds(), name)
+	}
 	e, ok := events[n.Kind]
 	if !ok {
 		e = logs.Decided
--- a/internal/sched/admit_test.go
+++ b/internal/sched/admit_test.go
@@ -26,7 +26,7 @@
 	It("leaves a third of a service to other work", func() {
 		s := newSite(siteQueues, 16, 16)
 		s.submit("first", "serve", serving(4, 5))
-		s.submit("plan", "fill", filling(8, 4))
+		s.submit("plan", "fill", filling(4))
 		s.play(3 * time.Second)
 		admits(s, 1, true)
 		admits(s, 2, false)
@@ -34,7 +34,7 @@
 	It("is taken again once others have left", func() {
 		s := newSite(siteQueues, 16, 16)
 		s.submit("first", "serve", serving(4, 5))
-		s.submit("plan", "fill", filling(8, 4))
+		s.submit("plan", "fill", filling(4))
 		s.play(3 * time.Second)
 		admits(s, 10, false)
 		s.step(sched.Cancel{ID: "first"})
@@ -64,7 +64,7 @@
 		s := newSite(siteQueues, 16)
 		s.submit("first", "serve", serving(1, 15))
 		s.play(3 * time.Second)
-		Expect(s.core.Admit(s.now, work.Job{ID: "x", Queue: "fill", Service: "s", Steps: []work.Step{filling(8, 8)}}).Refused).To(BeFalse())
+		Expect(s.core.Admit(s.now, work.Job{ID: "x", Queue: "fill", Service: "s", Steps: []work.Step{filling(8)}}).Refused).To(BeFalse())
 	})
 })
 
--- a/internal/sched/fate.go
+++ b/internal/sched/fate.go
@@ -36,6 +36,7 @@
 		if !p.known {
 			p.known = true
 			p.okay = c.now
+			c.first(p.task.step.job)
 			c.emit(Note{Kind: "started", Task: p.name(), Run: p.run, Worker: p.worker.ID, Took: c.now - p.task.step.job.taken})
 		}
 	case work.Unknown:
@@ -71,3 +72,11 @@
 	}
 	c.stop(p, "refused")
 }
+
+// first tells of the first start of a job that a worker confirmed.
+func (c *Core) first(j *job) {
+	if !j.started {
+		j.started = true
+		c.emit(Note{Kind: "first", Job: j.ID, Reason: j.Queue, Took: c.now - j.taken})
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -17,7 +17,9 @@
 	occs   []*occ
 	places map[*place]bool
 	// begun says that some task was ever started.
-	begun             bool
+	begun bool
+	// started says that a worker confirmed a start to this owner.
+	started           bool
 	failed, cancelled bool
 	complete          bool
 	// ended is when the job ended, in milliseconds of the store's clock.
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -49,7 +49,7 @@
 	j := t.step.job
 	t.run, t.done, t.fails, t.saved = ts.Run, ts.Done, ts.Fails, ts.Saved
 	if t.run > 0 {
-		j.begun = true
+		j.begun, j.started = true, true
 	}
 	if t.done {
 		t.step.left--
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -45,16 +45,12 @@
 	runs  map[work.Run]*ran
 	ends  []work.End
 	n     int64
-	sent  time.Duration
 }
 
 // ran is a run with what the worker says of it.
 type ran struct {
-	at       time.Duration
-	start    work.Start
-	percent  int
-	figure   int64
-	stopping bool
+	percent int
+	figure  int64
 }
 
 const (
@@ -124,7 +120,7 @@
 	res := work.Results{Life: f.Order.Life, Term: 1}
 	for _, x := range f.Order.Starts {
 		if w.runs[x.Run] == nil {
-			r := &ran{at: s.now, start: x, figure: 1}
+			r := &ran{figure: 1}
 			if x.Lasts {
 				r.percent = 100
 			}
@@ -195,6 +191,6 @@
 	return work.Step{Count: count, Size: vect.Size{Cores: n * cores, Memory: 10}, Lasts: true, Image: "web", Target: 50}
 }
 
-func filling(count int, n int64) work.Step {
-	return work.Step{Count: count, Size: vect.Size{Cores: n * cores, Memory: 10}, Fills: true, Saves: true, Image: "plan", Estimate: 1500}
+func filling(n int64) work.Step {
+	return work.Step{Count: 8, Size: vect.Size{Cores: n * cores, Memory: 10}, Fills: true, Saves: true, Image: "plan", Estimate: 1500}
 }
--- a/internal/sched/vacate_test.go
+++ b/internal/sched/vacate_test.go
@@ -21,7 +21,7 @@
 	// press has more tasks that fill than find room.
 	press := func(s *site) {
 		for i := range 12 {
-			s.submit(string(rune('a'+i)), "fill", filling(8, 8))
+			s.submit(string(rune('a'+i)), "fill", filling(8))
 		}
 		s.play(6 * time.Second)
 	}
