--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,11 +22,11 @@
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/proc"
-	"lagoonrack/internal/pulse"
 	"lagoonrack/internal/relay"
 	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/setup"
 	"lagoonrack/internal/tally"
+	"lagoonrack/internal/ticker"
 	"lagoonrack/internal/wire"
 )
 
@@ -54,7 +54,7 @@
 	clock  clock.Clock
 	pool   rpcs.Pool
 	grants relay.Relay[admit.Grant]
-	pulse  *pulse.Pulse
+	ticker *ticker.Ticker
 	http   *client.Client
 
 	incarnation string
@@ -114,7 +114,7 @@
 		calls:       map[callKey]*pending{},
 		entries:     map[string]time.Duration{},
 	}
-	a.pulse = pulse.New(a.tick)
+	a.ticker = ticker.New(a.tick)
 	a.grants.Send, a.grants.Merge = a.grant, mergeGrants
 	a.core.Slots = p.Minion.Slots
 	a.core.Incarnation = a.incarnation
@@ -145,7 +145,7 @@
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.loops.Go(func() { a.loopAnnounce(a.ctx) })
 	if a.proc.Minion.Service != "" {
-		a.loops.Go(func() { a.pulse.Run(a.ctx) })
+		a.loops.Go(func() { a.ticker.Run(a.ctx) })
 	}
 	if a.proc.Worker.Name != "" {
 		a.loops.Go(func() { a.loopWorker(a.ctx) })
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -85,7 +85,7 @@
 		a.do(f)
 	}
 	if a.core.Waiting() {
-		a.pulse.Wake()
+		a.ticker.Wake()
 	}
 }
 
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -8,9 +8,9 @@
 	"lagoonrack/internal/cell"
 	"lagoonrack/internal/conf"
 	"lagoonrack/internal/ledger"
+	"lagoonrack/internal/recent"
 	"lagoonrack/internal/roster"
 	"lagoonrack/internal/setup"
-	"lagoonrack/internal/trail"
 )
 
 // Status answers GET /v1/status.
@@ -84,5 +84,5 @@
 // Why answers GET /v1/why.
 type Why struct {
 	Records []ledger.Record `json:"records,omitempty"`
-	Steps   []trail.Step    `json:"steps,omitempty"`
+	Steps   []recent.Step   `json:"steps,omitempty"`
 }
--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -41,10 +41,10 @@
 	led     ledger.Ledger
 	workers map[string]*worker
 	// list holds the workers in order of their first beat.
-	list  []*worker
-	book  book
-	usage map[string]vect.Size
-	kinds map[string]kind
+	list    []*worker
+	backlog backlog
+	usage   map[string]vect.Size
+	kinds   map[string]kind
 
 	draft    []ledger.Record
 	held     []Effect
@@ -63,8 +63,8 @@
 	roomAt  time.Duration
 	leaving bool
 	dropped bool
-	// told lists workers with news and a beat to answer.
-	told []*worker
+	// news lists workers with news and a beat to answer.
+	news []*worker
 	// dirty says that a placement may succeed that failed before.
 	dirty   bool
 	effects []Effect
@@ -361,7 +361,7 @@
 // tell notes that a worker's next orders say more than to go on.
 func (c *Core) tell(w *worker) {
 	w.news = true
-	c.told = append(c.told, w)
+	c.news = append(c.news, w)
 }
 
 // press moves a place on towards its worker: a start is told, and a stop of an
@@ -376,13 +376,13 @@
 
 // answers answers the beats of workers with news.
 func (c *Core) answers() {
-	for _, w := range c.told {
+	for _, w := range c.news {
 		if w.news && w.beat != nil {
 			c.answer(w)
 		}
 	}
-	clear(c.told)
-	c.told = c.told[:0]
+	clear(c.news)
+	c.news = c.news[:0]
 }
 
 func (c *Core) answer(w *worker) {
--- a/internal/cell/operate.go
+++ b/internal/cell/operate.go
@@ -91,7 +91,7 @@
 		c.after(Done{Token: e.Token, Text: "it has ended or was cancelled before"})
 		return
 	}
-	c.book.remove(e.Name)
+	c.backlog.remove(e.Name)
 	for _, i := range j.Indexes() {
 		if p := c.running(e.Name, i, j.Open[i]); p != nil {
 			p.stop = "cancelled"
--- a/internal/cell/order.go
+++ b/internal/cell/order.go
@@ -40,8 +40,8 @@
 	cores, bytes learn.Value
 }
 
-// book holds the jobs that have tasks to start.
-type book struct {
+// backlog holds the jobs that have tasks to start.
+type backlog struct {
 	lanes [laneCount]heapOf
 	// all holds each queued job once.
 	all map[string]*item
@@ -63,7 +63,7 @@
 )
 
 // started notes the start of a task with the given work.
-func (b *book) started(short bool, work, usual float64) {
+func (b *backlog) started(short bool, work, usual float64) {
 	b.turn++
 	v := 0.0
 	if short {
@@ -76,7 +76,7 @@
 
 // reserve is the share of each worker that long tasks leave to short ones, so
 // that a short task need not wait for the end of a long one.
-func (b *book) reserve() float64 { return min(reserveMost, reserveShare*b.short) }
+func (b *backlog) reserve() float64 { return min(reserveMost, reserveShare*b.short) }
 
 // item is a queued job.
 type item struct {
@@ -114,7 +114,7 @@
 	return it
 }
 
-func (b *book) push(it *item) {
+func (b *backlog) push(it *item) {
 	if b.all == nil {
 		b.all = map[string]*item{}
 	}
@@ -122,7 +122,7 @@
 	heap.Push(&b.lanes[it.lane], it)
 }
 
-func (b *book) remove(name string) {
+func (b *backlog) remove(name string) {
 	it := b.all[name]
 	if it == nil {
 		return
@@ -134,7 +134,7 @@
 // next takes the job to start from: urgent ones first, then a long one whose
 // deadline presses, then short ones, then long ones. Late jobs come last, but
 // get one start of lateEvery.
-func (b *book) next(wall int64, margin time.Duration) *item {
+func (b *backlog) next(wall int64, margin time.Duration) *item {
 	b.sift(laneShort, wall)
 	b.sift(laneLong, wall)
 	l := b.pick(wall, margin)
@@ -146,7 +146,7 @@
 	return it
 }
 
-func (b *book) pick(wall int64, margin time.Duration) lane {
+func (b *backlog) pick(wall int64, margin time.Duration) lane {
 	switch {
 	case len(b.lanes[laneUrgent]) > 0:
 		return laneUrgent
@@ -163,7 +163,7 @@
 }
 
 // sift moves jobs that can't end in time any more out of a lane.
-func (b *book) sift(l lane, wall int64) {
+func (b *backlog) sift(l lane, wall int64) {
 	for len(b.lanes[l]) > 0 && b.lanes[l][0].key < wall {
 		it := heap.Pop(&b.lanes[l]).(*item)
 		it.lane = laneLate
@@ -174,10 +174,10 @@
 // queue puts a job with tasks to start into its lane.
 func (c *Core) queue(j *ledger.Job) {
 	name := j.Spec.Name
-	if c.book.all[name] != nil || j.Waiting() == 0 {
+	if c.backlog.all[name] != nil || j.Waiting() == 0 {
 		return
 	}
-	c.book.push(c.item(j))
+	c.backlog.push(c.item(j))
 	c.dirty = true
 }
 
@@ -202,7 +202,7 @@
 
 // isLong reports whether a job's tasks take much longer than is usual.
 func (c *Core) isLong(j *ledger.Job) bool {
-	return c.book.usual.Known() && c.estimate(j).Seconds() > longFactor*c.book.usual.Median
+	return c.backlog.usual.Known() && c.estimate(j).Seconds() > longFactor*c.backlog.usual.Median
 }
 
 // estimate returns the learned run time of a job's tasks, or the declared one.
@@ -222,7 +222,7 @@
 	k.cores = k.cores.With(float64(used.Cores))
 	k.bytes = k.bytes.With(float64(used.Memory))
 	c.kinds[name] = k
-	c.book.usual = c.book.usual.With(d.Seconds())
+	c.backlog.usual = c.backlog.usual.With(d.Seconds())
 }
 
 // charge counts what a team has in use.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -29,13 +29,13 @@
 	var missed []*item
 	starts := 0
 	for starts < startsPerStep && len(missed) < c.misses() {
-		it := c.book.next(c.wall(), c.margin())
+		it := c.backlog.next(c.wall(), c.margin())
 		if it == nil {
 			break
 		}
 		if c.startOne(it) {
 			starts++
-			c.book.started(!c.isLong(it.job), c.estimate(it.job).Seconds(), c.book.usual.Median)
+			c.backlog.started(!c.isLong(it.job), c.estimate(it.job).Seconds(), c.backlog.usual.Median)
 			c.queue(it.job)
 			continue
 		}
@@ -44,7 +44,7 @@
 		}
 	}
 	for _, it := range missed {
-		c.book.push(it)
+		c.backlog.push(it)
 	}
 	c.dirty = starts == startsPerStep
 }
@@ -59,7 +59,7 @@
 
 // margin is the laxity below which a long job presses.
 func (c *Core) margin() time.Duration {
-	return time.Duration(slackFactor * c.book.usual.High * float64(time.Second))
+	return time.Duration(slackFactor * c.backlog.usual.High * float64(time.Second))
 }
 
 // startOne places the next task of a job and reports whether it could.
@@ -164,7 +164,7 @@
 	case j.Spec.Urgent:
 		return 0
 	case !c.limits.Naive && c.isLong(j):
-		return max(c.limits.Spare, c.book.reserve())
+		return max(c.limits.Spare, c.backlog.reserve())
 	}
 	return c.limits.Spare
 }
@@ -213,10 +213,10 @@
 // starved reports whether a short job has waited so long that a long task with
 // a checkpoint should make room.
 func (c *Core) starved(j *ledger.Job) bool {
-	if c.limits.Naive || c.now-c.roomAt < roomEvery || !c.book.usual.Known() || c.isLong(j) {
+	if c.limits.Naive || c.now-c.roomAt < roomEvery || !c.backlog.usual.Known() || c.isLong(j) {
 		return false
 	}
-	usual := time.Duration(patienceRuns * c.book.usual.Median * float64(time.Second))
+	usual := time.Duration(patienceRuns * c.backlog.usual.Median * float64(time.Second))
 	waited := time.Duration(c.wall()-j.At) * time.Millisecond
 	return waited > max(patience, usual)
 }
@@ -225,7 +225,7 @@
 // is evicted.
 func (c *Core) savesLong(p *place) bool {
 	ran := (c.now - p.since).Seconds()
-	return p.seen && c.led.Jobs[p.job].Spec.Checkpoint && ran > longFactor*c.book.usual.Median
+	return p.seen && c.led.Jobs[p.job].Spec.Checkpoint && ran > longFactor*c.backlog.usual.Median
 }
 
 // makeRoom evicts tasks from one worker, of those that may be, so that a task
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -155,7 +155,7 @@
 		Budget:     a.budget,
 	})
 	e.mu.Unlock()
-	e.pulse.Wake()
+	e.ticker.Wake()
 	return <-p.answer
 }
 
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"lagoonrack/internal/logs"
+	"lagoonrack/internal/recent"
 	"lagoonrack/internal/route"
 	"lagoonrack/internal/rpcs"
-	"lagoonrack/internal/trail"
 	"lagoonrack/internal/wire"
 )
 
@@ -62,7 +62,7 @@
 }
 
 func (e *Entry) note(id, what, reason, agent string) {
-	e.trail.Add(id, trail.Step{At: e.clock.Now(), What: what, Reason: reason, Agent: agent})
+	e.recent.Add(id, recent.Step{At: e.clock.Now(), What: what, Reason: reason, Agent: agent})
 }
 
 func (e *Entry) answered(a route.Answer) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,14 +21,14 @@
 	"lagoonrack/internal/owner"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/proc"
-	"lagoonrack/internal/pulse"
+	"lagoonrack/internal/recent"
 	"lagoonrack/internal/relay"
 	"lagoonrack/internal/roster"
 	"lagoonrack/internal/route"
 	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/setup"
 	"lagoonrack/internal/tally"
-	"lagoonrack/internal/trail"
+	"lagoonrack/internal/ticker"
 	"lagoonrack/internal/vect"
 	"lagoonrack/internal/wire"
 )
@@ -46,13 +46,13 @@
 
 // Entry is an entry process. Use New, then Start.
 type Entry struct {
-	proc  proc.Settings
-	table plat.Table
-	store plat.Store
-	log   logs.Log
-	tally tally.Set
-	clock clock.Clock
-	trail trail.Trail
+	proc   proc.Settings
+	table  plat.Table
+	store  plat.Store
+	log    logs.Log
+	tally  tally.Set
+	clock  clock.Clock
+	recent recent.Requests
 
 	// Answered is told of each answer to a caller. It may be nil.
 	Answered func(id string, o wire.Outcome)
@@ -61,7 +61,7 @@
 
 	pool     rpcs.Pool
 	bids     relay.Relay[route.Bid]
-	pulse    *pulse.Pulse
+	ticker   *ticker.Ticker
 	peer     *rpcs.Server
 	caller   *httpd.Server
 	operator *httpd.Server
@@ -115,7 +115,7 @@
 		owners: map[string]*owned{},
 	}
 	e.bids.Send = e.bid
-	e.pulse = pulse.New(e.tick)
+	e.ticker = ticker.New(e.tick)
 	e.core.Seed = uint64(e.clock.Epoch())
 	e.setup = setup.Setup{Table: table, Site: p.Site, Applied: e.applied, Refused: e.refused}
 	return e
@@ -151,7 +151,7 @@
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.loops.Go(func() { e.setup.Run(e.ctx, e.storeFailed) })
 	e.loops.Go(func() { e.roster.Run(e.ctx, e.describe) })
-	e.loops.Go(func() { e.pulse.Run(e.ctx) })
+	e.loops.Go(func() { e.ticker.Run(e.ctx) })
 	e.loops.Go(func() { e.loopPeers(e.ctx) })
 	e.caller.Start()
 	e.operator.Start()
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -14,8 +14,8 @@
 	"lagoonrack/internal/api"
 	"lagoonrack/internal/conf"
 	"lagoonrack/internal/httpd"
+	"lagoonrack/internal/recent"
 	"lagoonrack/internal/setup"
-	"lagoonrack/internal/trail"
 	"lagoonrack/internal/wire"
 )
 
@@ -258,14 +258,14 @@
 
 func (e *Entry) whyRequest(ctx context.Context, rc *app.RequestContext) {
 	id := rc.Param("name")
-	steps := e.trail.Steps(id)
+	steps := e.recent.Steps(id)
 	for _, p := range e.roster.Peers() {
 		if len(steps) > 0 {
 			break
 		}
-		out := new([]trail.Step)
+		out := new([]recent.Step)
 		c, cancel := context.WithTimeout(ctx, peerTimeout)
-		if err := e.pool.Get(p).Call(c, peerName+".Trail", id, out); err == nil {
+		if err := e.pool.Get(p).Call(c, peerName+".Recent", id, out); err == nil {
 			steps = *out
 		}
 		cancel()
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -8,9 +8,9 @@
 	"lagoonrack/internal/cell"
 	"lagoonrack/internal/ledger"
 	"lagoonrack/internal/owner"
+	"lagoonrack/internal/recent"
 	"lagoonrack/internal/route"
 	"lagoonrack/internal/setup"
-	"lagoonrack/internal/trail"
 	"lagoonrack/internal/wire"
 )
 
@@ -107,9 +107,9 @@
 	return nil
 }
 
-// Trail returns what is remembered of a request.
-func (p *Peer) Trail(id string, out *[]trail.Step) error {
-	*out = p.entry.trail.Steps(id)
+// Recent returns what is remembered of a request.
+func (p *Peer) Recent(id string, out *[]recent.Step) error {
+	*out = p.entry.recent.Steps(id)
 	return nil
 }
 
--- a/internal/owner/loops.go
+++ b/internal/owner/loops.go
@@ -17,7 +17,7 @@
 var errDeposed = errors.New("another process owns the cell")
 
 // loopTicks tells the core of the time.
-func (o *Owner) loopTicks(ctx context.Context, r *reign) {
+func (o *Owner) loopTicks(ctx context.Context, r *term) {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
@@ -36,7 +36,7 @@
 
 // loopPages writes the core's pages, one after the other, until each is known
 // to be in the table.
-func (o *Owner) loopPages(ctx context.Context, r *reign) {
+func (o *Owner) loopPages(ctx context.Context, r *term) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,7 +60,7 @@
 
 // write repeats a page until it took effect. It returns an error only if the
 // cell has another owner or the context ended.
-func (o *Owner) write(ctx context.Context, r *reign, p ledger.Page) error {
+func (o *Owner) write(ctx context.Context, r *term, p ledger.Page) error {
 	data, err := p.Encode()
 	if err != nil {
 		return err
@@ -74,7 +74,7 @@
 // persist repeats the write of one row until it is known to have taken effect.
 // Next returns what to write, given the present row, and whether an earlier
 // try has already taken effect.
-func (o *Owner) persist(ctx context.Context, r *reign, step, key string, next func(plat.Row) ([]byte, bool)) error {
+func (o *Owner) persist(ctx context.Context, r *term, step, key string, next func(plat.Row) ([]byte, bool)) error {
 	for ctx.Err() == nil {
 		done, err := o.tryPersist(ctx, r, key, next)
 		if done || errors.Is(err, errDeposed) {
@@ -88,7 +88,7 @@
 	return ctx.Err()
 }
 
-func (o *Owner) tryPersist(ctx context.Context, r *reign, key string, next func(plat.Row) ([]byte, bool)) (bool, error) {
+func (o *Owner) tryPersist(ctx context.Context, r *term, key string, next func(plat.Row) ([]byte, bool)) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := o.Table.Read(ctx, key)
@@ -113,7 +113,7 @@
 }
 
 // stillOwner returns errDeposed if the cell has another owner.
-func (o *Owner) stillOwner(ctx context.Context, r *reign) error {
+func (o *Owner) stillOwner(ctx context.Context, r *term) error {
 	row, err := o.Table.Read(ctx, r.title.Key)
 	if err != nil {
 		return err
@@ -125,7 +125,7 @@
 }
 
 // loopHead keeps writing the sign of life, and stores snapshots.
-func (o *Owner) loopHead(ctx context.Context, r *reign) {
+func (o *Owner) loopHead(ctx context.Context, r *term) {
 	every := time.NewTicker(max(o.Limits.Owner/4, 100*time.Millisecond))
 	defer every.Stop()
 	for {
@@ -146,8 +146,8 @@
 }
 
 // store writes a snapshot. The head names it from its next write on.
-func (o *Owner) store(ctx context.Context, r *reign, s cell.Snapshot) {
-	name := fmt.Sprintf("cell/%s/%d-%d", o.Cell, r.term, s.Seq)
+func (o *Owner) store(ctx context.Context, r *term, s cell.Snapshot) {
+	name := fmt.Sprintf("cell/%s/%d-%d", o.Cell, r.number, s.Seq)
 	c, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := o.Store.Put(c, name, s.Data); err != nil {
@@ -175,7 +175,7 @@
 
 // beat writes the head row once. Only a loss of the cell is an error; a store
 // that gives no answer is tried again at the next turn.
-func (o *Owner) beat(ctx context.Context, r *reign) error {
+func (o *Owner) beat(ctx context.Context, r *term) error {
 	sent := r.clock.Now()
 	r.head.Beat++
 	w, err := put(headKey(o.Cell), r.head)
@@ -199,17 +199,17 @@
 	return nil
 }
 
-func (o *Owner) depose(r *reign) {
+func (o *Owner) depose(r *term) {
 	o.mu.Lock()
 	o.step(r, cell.Deposed{})
 	o.mu.Unlock()
-	o.Log.Info(logs.Deposed, logs.Fields{"cell": o.Cell, "term": r.term})
+	o.Log.Info(logs.Deposed, logs.Fields{"cell": o.Cell, "term": r.number})
 	r.end()
 }
 
 // give marks the cell as free, so that another process need not wait.
-func (o *Owner) give(ctx context.Context, r *reign) {
-	w, err := put(titleKey(o.Cell), title{Term: r.term})
+func (o *Owner) give(ctx context.Context, r *term) {
+	w, err := put(titleKey(o.Cell), title{Term: r.number})
 	if err != nil {
 		o.failed("release", err)
 		r.end()
@@ -224,6 +224,6 @@
 	if err != nil {
 		o.failed("release", err)
 	}
-	o.Log.Info(logs.Released, logs.Fields{"cell": o.Cell, "term": r.term})
+	o.Log.Info(logs.Released, logs.Fields{"cell": o.Cell, "term": r.number})
 	r.end()
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -63,8 +63,8 @@
 	// Watch is told of each decision. It may be nil.
 	Watch func(cell.Note)
 
-	mu    sync.Mutex
-	reign *reign
+	mu   sync.Mutex
+	term *term
 	// known is the newest title that was read.
 	known title
 	// quiet is since when the head has not changed, and version the head's.
@@ -75,12 +75,12 @@
 	asked chan struct{}
 }
 
-// reign is the time during which this process owns the cell.
-type reign struct {
+// term is the time during which this process owns the cell.
+type term struct {
 	core    *cell.Core
 	clock   clock.Clock
 	title   plat.Row
-	term    uint64
+	number  uint64
 	pages   chan ledger.Page
 	snaps   chan cell.Snapshot
 	tokens  map[uint64]chan any
@@ -180,7 +180,7 @@
 }
 
 // takeOver makes this process the owner, or returns nil.
-func (o *Owner) takeOver(ctx context.Context) *reign {
+func (o *Owner) takeOver(ctx context.Context) *term {
 	ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
 	old, row, err := readRow[title](ctx, o.Table, titleKey(o.Cell))
@@ -216,7 +216,7 @@
 }
 
 // begin reads back whether the claim took effect and loads the state.
-func (o *Owner) begin(ctx context.Context, mine, old title) *reign {
+func (o *Owner) begin(ctx context.Context, mine, old title) *term {
 	got, row, err := readRow[title](ctx, o.Table, titleKey(o.Cell))
 	if err != nil || got != mine {
 		return nil
@@ -240,11 +240,11 @@
 	core.Configure(o.Limits)
 	o.Log.Info(logs.Owned, logs.Fields{"cell": o.Cell, "term": mine.Term, "jobs": len(led.Jobs), "seq": led.Seq})
 	o.Tally.Inc("lagoon_takeovers_total", "cell", o.Cell)
-	return &reign{
+	return &term{
 		core:    core,
 		clock:   c,
 		title:   row,
-		term:    mine.Term,
+		number:  mine.Term,
 		head:    h,
 		pages:   make(chan ledger.Page, 1),
 		snaps:   make(chan cell.Snapshot, 1),
@@ -255,10 +255,10 @@
 }
 
 // rule runs the core until another process takes the cell or it is released.
-func (o *Owner) rule(ctx context.Context, r *reign) {
+func (o *Owner) rule(ctx context.Context, r *term) {
 	o.mu.Lock()
-	o.reign = r
-	o.known = title{Term: r.term, Name: o.Name, Addr: o.Addr}
+	o.term = r
+	o.known = title{Term: r.number, Name: o.Name, Addr: o.Addr}
 	o.mu.Unlock()
 	var all sync.WaitGroup
 	all.Go(func() { o.loopPages(ctx, r) })
@@ -266,7 +266,7 @@
 	all.Go(func() { o.loopTicks(ctx, r) })
 	all.Wait()
 	o.mu.Lock()
-	o.reign = nil
+	o.term = nil
 	o.quiet = time.Time{}
 	for _, ch := range r.tokens {
 		close(ch)
@@ -275,17 +275,17 @@
 	o.mu.Unlock()
 }
 
-func (r *reign) end() { r.once.Do(func() { close(r.ended) }) }
+func (r *term) end() { r.once.Do(func() { close(r.ended) }) }
 
 // step passes an event to the core and carries out its effects. It must be
 // called with the mutex held.
-func (o *Owner) step(r *reign, e cell.Event) {
+func (o *Owner) step(r *term, e cell.Event) {
 	for _, f := range r.core.Step(r.clock.Now(), e) {
 		o.do(r, f)
 	}
 }
 
-func (o *Owner) do(r *reign, f cell.Effect) {
+func (o *Owner) do(r *term, f cell.Effect) {
 	switch f := f.(type) {
 	case cell.Commit:
 		f.Page.Txn = ulid.Make().String()
@@ -310,7 +310,7 @@
 	}
 }
 
-func (r *reign) reply(token uint64, v any) {
+func (r *term) reply(token uint64, v any) {
 	if ch := r.tokens[token]; ch != nil {
 		delete(r.tokens, token)
 		ch <- v
@@ -337,7 +337,7 @@
 // ask passes an event with a token to the core and waits for the answer.
 func (o *Owner) ask(ctx context.Context, event func(token uint64) cell.Event) (any, error) {
 	o.mu.Lock()
-	r := o.reign
+	r := o.term
 	if r == nil {
 		o.mu.Unlock()
 		return nil, ErrNotOwner
@@ -396,10 +396,10 @@
 func (o *Owner) View(f func(*cell.Core)) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.reign == nil {
+	if o.term == nil {
 		return false
 	}
-	f(o.reign.core)
+	f(o.term.core)
 	return true
 }
 
@@ -420,8 +420,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.Limits = l
-	if o.reign != nil {
-		o.reign.core.Configure(l)
+	if o.term != nil {
+		o.term.core.Configure(l)
 	}
 }
 
@@ -429,7 +429,7 @@
 func (o *Owner) Leave(ctx context.Context) {
 	o.mu.Lock()
 	o.leaving = true
-	r := o.reign
+	r := o.term
 	if r != nil {
 		o.step(r, cell.Leave{})
 	}
--- a/internal/trail/trail.go
+++ b/internal/recent/recent.go
@@ -1,14 +1,14 @@
-// Package trail remembers what was decided about recent requests, so that an
+// Package recent remembers what was decided about recent requests, so that an
 // operator can ask why a request ended as it did.
-package trail
+package recent
 
 import (
 	"sync"
 	"time"
 )
 
-// Trail is a bounded memory of requests. The zero value works.
-type Trail struct {
+// Requests is a bounded memory of requests. The zero value works.
+type Requests struct {
 	mu    sync.Mutex
 	steps map[string][]Step
 	order []string
@@ -28,25 +28,25 @@
 const keep = 4096
 
 // Add notes a step of a request.
-func (t *Trail) Add(id string, s Step) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.steps == nil {
-		t.steps = map[string][]Step{}
+func (r *Requests) Add(id string, s Step) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.steps == nil {
+		r.steps = map[string][]Step{}
 	}
-	if _, ok := t.steps[id]; !ok {
-		t.order = append(t.order, id)
-		if len(t.order) > keep {
-			delete(t.steps, t.order[0])
-			t.order = t.order[1:]
+	if _, ok := r.steps[id]; !ok {
+		r.order = append(r.order, id)
+		if len(r.order) > keep {
+			delete(r.steps, r.order[0])
+			r.order = r.order[1:]
 		}
 	}
-	t.steps[id] = append(t.steps[id], s)
+	r.steps[id] = append(r.steps[id], s)
 }
 
 // Steps returns what is remembered of a request, oldest first.
-func (t *Trail) Steps(id string) []Step {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return append([]Step(nil), t.steps[id]...)
+func (r *Requests) Steps(id string) []Step {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Step(nil), r.steps[id]...)
 }
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -144,7 +144,7 @@
 	}
 	r.running, r.listed, r.listedAt = held.Running, true, sent
 	r.ends = newer(held.Ends, r.seen)
-	if len(r.ends) > 0 && r.ends[len(r.ends)-1].N > r.told {
+	if len(r.ends) > 0 && r.ends[len(r.ends)-1].N > r.reported {
 		signal(r.news)
 	}
 	r.tidy()
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -92,9 +92,9 @@
 	}
 }
 
-// told takes in the owner's answer to a report that was sent at a time. Renew
+// confirmed takes in the owner's answer to a report that was sent at a time. Renew
 // says that the owner lets the agent renew the lease.
-func (l *lease) told(sent time.Duration, renew, reportedCut bool) {
+func (l *lease) confirmed(sent time.Duration, renew, reportedCut bool) {
 	l.word = max(l.word, sent)
 	l.heard = true
 	if renew && !reportedCut && !l.silent {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -142,9 +142,9 @@
 	}
 	r.stored(rpl.Noted)
 	if n := len(rep.Ends); n > 0 {
-		r.told = max(r.told, rep.Ends[n-1].N)
+		r.reported = max(r.reported, rep.Ends[n-1].N)
 	}
-	r.lease.told(sent, rpl.Renew, rep.Cut)
+	r.lease.confirmed(sent, rpl.Renew, rep.Cut)
 	return true
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -60,17 +60,17 @@
 	entries map[string]time.Duration
 	// avoid is an owner's address that the title named and that gave no answer.
 	avoid string
-	// seen is the highest end that the owner has stored, and told the highest
+	// seen is the highest end that the owner has stored, and reported the highest
 	// that it was told of.
-	seen, told int64
-	running    []work.Running
-	ends       []work.End
-	listedAt   time.Duration
-	listed     bool
-	changed    bool
-	orders     map[work.Run]*order
-	about      map[work.Run]work.About
-	guard      pace.Guard
+	seen, reported int64
+	running        []work.Running
+	ends           []work.End
+	listedAt       time.Duration
+	listed         bool
+	changed        bool
+	orders         map[work.Run]*order
+	about          map[work.Run]work.About
+	guard          pace.Guard
 }
 
 // order is the start of a run that was ordered.
@@ -119,7 +119,7 @@
 	r.worker = w
 	r.gone = false
 	r.lease = lease{limits: r.Limits}
-	r.seen, r.told = 0, 0
+	r.seen, r.reported = 0, 0
 	r.running, r.ends = nil, nil
 	r.listed = false
 	r.orders = map[work.Run]*order{}
--- a/internal/pulse/pulse.go
+++ b/internal/ticker/ticker.go
@@ -1,14 +1,14 @@
-// Package pulse tells a core of the time: often while the core waits for time to
+// Package ticker tells a core of the time: often while the core waits for time to
 // pass, and seldom otherwise, so that an idle process costs little.
-package pulse
+package ticker
 
 import (
 	"context"
 	"time"
 )
 
-// Pulse steps a core. Use New.
-type Pulse struct {
+// Ticker steps a core. Use New.
+type Ticker struct {
 	step func() bool
 	wake chan struct{}
 }
@@ -20,14 +20,14 @@
 	idleEvery = 100 * time.Millisecond
 )
 
-// New returns a pulse. Step tells the core of the time and reports whether it
+// New returns a ticker. Step tells the core of the time and reports whether it
 // waits for more of it to pass.
-func New(step func() bool) *Pulse {
-	return &Pulse{step: step, wake: make(chan struct{}, 1)}
+func New(step func() bool) *Ticker {
+	return &Ticker{step: step, wake: make(chan struct{}, 1)}
 }
 
 // Wake starts the fast pace at once.
-func (p *Pulse) Wake() {
+func (p *Ticker) Wake() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -35,7 +35,7 @@
 }
 
 // Run steps the core until the context ends.
-func (p *Pulse) Run(ctx context.Context) {
+func (p *Ticker) Run(ctx context.Context) {
 	idle := time.NewTicker(idleEvery)
 	defer idle.Stop()
 	for {
@@ -49,7 +49,7 @@
 	}
 }
 
-func (p *Pulse) runBusy(ctx context.Context) {
+func (p *Ticker) runBusy(ctx context.Context) {
 	t := time.NewTicker(busyEvery)
 	defer t.Stop()
 	for p.step() {
