--- a/internal/front/decline_test.go
+++ b/internal/front/decline_test.go
@@ -11,6 +11,7 @@
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/sched"
+	"lagoonrack/internal/stand/rows"
 	"lagoonrack/internal/tally"
 	"lagoonrack/internal/work"
 )
@@ -20,49 +21,20 @@
 	RunSpecs(t, "an entry's writes")
 }
 
-// table is a store of rows in memory. Writes listed in lost take effect without
-// an answer.
-type table struct {
-	rows    map[string]plat.Row
-	version uint64
-	lost    int
-}
-
-func (t *table) commit(_ context.Context, txn plat.Txn) (plat.Stamp, error) {
-	for _, c := range txn.Checks {
-		if t.rows[c.Key].Version != c.Version {
-			return plat.Stamp{}, plat.ErrConflict
-		}
-	}
-	t.version++
-	for _, w := range txn.Writes {
-		t.rows[w.Key] = plat.Row{Key: w.Key, Value: w.Value, Version: t.version}
-	}
-	if t.lost > 0 {
-		t.lost--
-		return plat.Stamp{}, plat.ErrDown
-	}
-	return plat.Stamp{Version: t.version}, nil
-}
-
-func (t *table) read(_ context.Context, key string) (plat.Row, plat.Stamp, error) {
-	return t.rows[key], plat.Stamp{Version: t.version}, nil
-}
-
-// newFront returns an entry on a table, without peers.
-func newFront(t *table) *Front {
+// newFront returns an entry on a store, without peers.
+func newFront(s *rows.Store) *Front {
 	ctx := context.Background()
-	return &Front{Rows: plat.Rows{Read: t.read, Commit: t.commit}, Clock: clock.New(), Tally: &tally.Set{}, ctx: ctx}
+	return &Front{Rows: s.Rows(), Clock: clock.New(), Tally: &tally.Set{}, ctx: ctx}
 }
 
 var _ = Describe("a job that is sent away", func() {
-	var rows *table
+	var store *rows.Store
 	var f *Front
 	job := work.Job{ID: "00000000000000a1", Queue: "q", Service: "s", Steps: []work.Step{{Count: 1, Lasts: true}}}
 	key := sched.JobKey(job.ID)
 	BeforeEach(func() {
-		rows = &table{rows: map[string]plat.Row{}}
-		f = newFront(rows)
+		store = &rows.Store{}
+		f = newFront(store)
 	})
 	accept := func() Outcome {
 		data, err := work.Encode(job)
@@ -85,7 +57,7 @@
 		Expect(f.decline(context.Background(), job, time.Second).Fate).To(Equal(Refused))
 		data, err := work.Encode(job)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = rows.commit(context.Background(), plat.Txn{Checks: []plat.Check{{Key: key}}, Writes: []plat.Write{{Key: key, Value: data}}})
+		_, err = store.Rows().Commit(context.Background(), plat.Txn{Checks: []plat.Check{{Key: key}}, Writes: []plat.Write{{Key: key, Value: data}}})
 		Expect(err).To(MatchError(plat.ErrConflict))
 		Expect(shown()).To(BeEmpty())
 	})
@@ -95,24 +67,24 @@
 		Expect(shown()).To(Equal("queued"))
 	})
 	It("is refused once although an answer was lost", func() {
-		rows.lost = 1
+		store.Lose(1)
 		Expect(f.decline(context.Background(), job, time.Second).Fate).To(Equal(Refused))
-		Expect(rows.version).To(Equal(uint64(1)))
+		Expect(store.Version()).To(Equal(uint64(1)))
 	})
 	It("replaces an earlier refusal, so that a write over that one can't take effect", func() {
 		Expect(f.decline(context.Background(), job, time.Second).Fate).To(Equal(Refused))
-		old := rows.rows[key].Version
+		old := store.Row(key).Version
 		again := job
 		again.At = 5
 		Expect(f.decline(context.Background(), again, time.Second).Fate).To(Equal(Refused))
-		Expect(rows.rows[key].Version).To(BeNumerically(">", old))
+		Expect(store.Row(key).Version).To(BeNumerically(">", old))
 	})
 })
 
 var _ = Describe("a caller that is sent away while the store is away", func() {
 	comesBack := func(after time.Duration, want time.Duration) {
 		GinkgoHelper()
-		f := newFront(&table{rows: map[string]plat.Row{}})
+		f := newFront(&rows.Store{})
 		f.since.Store(int64(f.Clock.Now() - after))
 		Expect(f.outageAfter()).To(Equal(want))
 	}
@@ -128,15 +100,15 @@
 // configuration to find out.
 var _ = Describe("an entry that the store turned away", func() {
 	It("tests with a small row whether the store is back", func() {
-		rows := &table{rows: map[string]plat.Row{}}
-		f := newFront(rows)
+		f := newFront(&rows.Store{})
+		read := f.Rows.Read
 		f.Name, f.Table, f.Key = "entry", "op", "op/config"
 		f.Rows.Read = func(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
 			if key == f.Key {
 				<-ctx.Done()
 				return plat.Row{}, plat.Stamp{}, ctx.Err()
 			}
-			return rows.read(ctx, key)
+			return read(ctx, key)
 		}
 		f.tried(plat.ErrRefused)
 		Expect(f.away()).To(BeTrue())
