sched: tasks of one step that are moved at a time count together

Found by reading: a worker with two tasks of a step of which one may be away was emptied at once, and preemption could stop two. Each task was looked at by itself. Now what is to be stopped together is checked together; vacate_test, red before.

--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -136,6 +136,9 @@
 	}
 	slices.SortStableFunc(can, func(a, b *place) int { return cmp.Compare(lost(a), lost(b)) })
 	for _, p := range can {
+		if !spared(append(slices.Clone(out), p)) {
+			continue
+		}
 		out = append(out, p)
 		loss += lost(p)
 		room = room.Add(p.task.step.Reserved())
--- a/internal/sched/vacate.go
+++ b/internal/sched/vacate.go
@@ -110,6 +110,13 @@
 			return nil
 		}
 	}
+	var moved []*place
+	for _, m := range v.moves {
+		moved = append(moved, m.place)
+	}
+	if !spared(moved) {
+		return nil
+	}
 	return v
 }
 
@@ -181,6 +188,21 @@
 	return s.Missing == 0 || s.away() < s.Missing
 }
 
+// spared reports whether all places may be stopped at a time without more tasks of
+// a step being away than may be.
+func spared(places []*place) bool {
+	stops := map[*step]int{}
+	for _, p := range places {
+		stops[p.task.step]++
+	}
+	for s, n := range stops {
+		if s.Lasts && s.Missing > 0 && s.away()+n > s.Missing {
+			return false
+		}
+	}
+	return true
+}
+
 // away counts the tasks of a step that are not at work.
 func (s *step) away() int {
 	n := 0
--- a/internal/sched/vacate_test.go
+++ b/internal/sched/vacate_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lagoonrack/internal/sched"
 	"lagoonrack/internal/work"
 )
 
@@ -59,6 +60,26 @@
 		Expect(s.on("apart")[0]).To(Equal(1))
 	})
 
+	It("moves no more tasks of a step at a time than may be away", func() {
+		for _, missing := range []int{1, 2, 0} {
+			s := newSite(siteQueues, 16, 24)
+			s.submit("stays", "serve", serving(4, 3))
+			s.submit("goes", "serve", serving(1, 4))
+			s.play(time.Second)
+			rest := serving(2, 2)
+			rest.Missing = missing
+			s.submit("rest", "serve", rest)
+			s.play(4 * time.Second)
+			Expect(s.on("rest")).To(Equal([]int{0, 2}))
+			s.step(sched.Cancel{ID: "goes"})
+			press(s)
+			if missing == 1 {
+				Expect(s.moves("vacate")).To(BeZero())
+			} else {
+				Expect(s.moves("vacate")).To(Equal(2))
+			}
+		}
+	})
 	It("keeps as many tasks of a step at work as it must", func() {
 		s := newSite(siteQueues, 16, 24, 24)
 		full := serving(4, 4)
