--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -92,7 +92,7 @@
 // whether it did; if not, the claim is worth another look.
 func (k keyed) follow(ctx context.Context, rc *app.RequestContext, c claim.Claim) bool {
 	held := k.holds(ctx, c)
-	t := k.find(ctx, c.ID)
+	t := k.trace(ctx, c)
 	switch {
 	case t.Ended:
 		k.respond(rc, k.ask, route.Answer{Outcome: wire.Ran, Reason: "key", Result: t.Result})
@@ -128,12 +128,29 @@
 	return e.calls[id] != nil
 }
 
-// find asks the agents of the service what became of a request.
-func (k keyed) find(ctx context.Context, id string) wire.Trace {
+// trace asks what became of a request: first the agents that this entry knows,
+// then the entry that sent it, which knows the agent that has it even if that has
+// not announced itself here yet.
+func (k keyed) trace(ctx context.Context, c claim.Claim) wire.Trace {
+	q := wire.Search{Service: k.ask.service.Name, ID: c.ID}
+	t := k.find(ctx, q)
+	if t.Ended || c.Entry == k.PeerAddr() {
+		return t
+	}
+	out := new(wire.Trace)
+	if err := k.pool.Get(c.Entry).Call(ctx, peerName+".Find", q, out); err != nil {
+		return t
+	}
+	out.Running = out.Running || t.Running
+	return *out
+}
+
+// find asks the agents of a service what became of a request.
+func (e *Entry) find(ctx context.Context, q wire.Search) wire.Trace {
 	var all wire.Trace
-	for _, a := range k.agentsOf(k.ask.service.Name) {
+	for _, a := range e.agentsOf(q.Service) {
 		out := new(wire.Trace)
-		if err := k.pool.Get(a).Call(ctx, agentName+".Find", id, out); err != nil {
+		if err := e.pool.Get(a).Call(ctx, agentName+".Find", q.ID, out); err != nil {
 			continue
 		}
 		if out.Ended {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -107,6 +107,17 @@
 	return nil
 }
 
+// Find asks the agents that this entry knows what became of a request.
+func (p *Peer) Find(q wire.Search, out *wire.Trace) error {
+	ctx, cancel := context.WithTimeout(p.entry.ctx, findTimeout)
+	defer cancel()
+	*out = p.entry.find(ctx, q)
+	return nil
+}
+
+// findTimeout bounds a search for another entry, which asks each agent in turn.
+const findTimeout = time.Second
+
 // Recent returns what is remembered of a request.
 func (p *Peer) Recent(id string, out *[]recent.Step) error {
 	*out = p.entry.recent.Steps(id)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -32,6 +32,12 @@
 // Empty is a message without content.
 type Empty struct{}
 
+// Search names a request of a service.
+type Search struct {
+	Service string
+	ID      string
+}
+
 // Trace is what an agent knows of a request, over all its attempts.
 type Trace struct {
 	// Running says that an attempt is accepted and has not ended.
