--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,9 +58,8 @@
 	apply    sync.Mutex
 	// gauge measures the store's clock: how far it is ahead of this process's.
 	gauge atomic.Int64
-	// turned says that the store has not answered since it failed a call.
-	turned atomic.Bool
-	// since is when the store went away, in nanoseconds of the clock, or 0.
+	// since is when the store failed a call and has not answered since, in
+	// nanoseconds of the clock, or 0.
 	since atomic.Int64
 
 	mu    sync.Mutex
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -92,15 +92,14 @@
 
 // away reports whether the store gave this entry no answer, or turned it away,
 // since it last answered.
-func (f *Front) away() bool { return f.turned.Load() }
+func (f *Front) away() bool { return f.since.Load() != 0 }
 
 // tried notes how the store answered a call.
 func (f *Front) tried(err error) {
 	if err == nil || errors.Is(err, plat.ErrConflict) || f.ctx.Err() != nil {
 		return
 	}
-	if !f.turned.Swap(true) {
-		f.since.Store(max(1, int64(f.Clock.Now())))
+	if f.since.CompareAndSwap(0, max(1, int64(f.Clock.Now()))) {
 		f.Log.Info(logs.StoreAway, logs.Fields{"error": err.Error()})
 		f.loops.Go(func() { f.loopProbe(f.ctx) })
 	}
@@ -118,7 +117,6 @@
 		_, _, err := f.Rows.Read(c, liveTable+"/"+f.Name)
 		cancel()
 		if err == nil {
-			f.turned.Store(false)
 			f.since.Store(0)
 			f.Log.Info(logs.StoreUp, logs.Fields{"ms": (f.Clock.Now() - began).Milliseconds()})
 			return
