sched: reports that were held up don't say what is

Workers and their agents were cut off from 18.3 to 23.2 s; reports from before the cut arrived at 24.5 s, after newer ones. The owner took their lists to be as of their arrival: a run that was being stopped and was not in such a list counted as ended, its task started elsewhere at 24.82 s, and the run ended at 24.93 s. A report that said 'cut' and came late would have taken back a lease that was renewed since. Change: a report that a newer one of the same process overtook, or that an earlier process of the agent sent, is not taken in; what a list says is dated by how much longer than usual its report was under way. A list that an agent repeats shows no standstill. The fuzzed world dated each list truly on arrival, which no agent can, and its stops took no time: both mended, the second in the world with copies.

--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -63,6 +64,8 @@
 	from, until time.Duration
 	fails       bool
 	saved       string
+	// stops is when a stop that was taken is over, or 0.
+	stops time.Duration
 }
 
 // started is what is known of a task over all workers.
@@ -438,11 +441,20 @@
 
 func (w *world) stop(r *runner, s work.Run) {
 	r.top[s.Task] = max(r.top[s.Task], s.Num)
-	if r.runs[s] != nil {
+	x := r.runs[s]
+	switch {
+	case x == nil:
+	case w.copies:
+		// A stop takes a while, in which the run is listed.
+		x.stops = cmp.Or(x.stops, w.now+time.Duration(50+w.rng.IntN(int(stopGrace.Milliseconds())))*time.Millisecond)
+	default:
 		w.end(r, s, work.Stopped)
 	}
 }
 
+// stopGrace is the longest time that a stop takes, as on the users' second site.
+const stopGrace = 850 * time.Millisecond
+
 // end ends a run on a worker.
 func (w *world) end(r *runner, s work.Run, how work.How) {
 	delete(r.runs, s)
@@ -554,8 +566,6 @@
 		if o.dead {
 			return
 		}
-		rep.Age = 0
-		rep.Age = (w.now - sent).Milliseconds()
 		w.token++
 		token := w.token
 		w.tokens[token] = func(rpl work.Reply) {
@@ -593,6 +603,8 @@
 			// It ended together with its gang.
 		case w.now > r.until:
 			w.end(r, s, work.Lapsed)
+		case x.stops > 0 && w.now >= x.stops:
+			w.end(r, s, work.Stopped)
 		case w.now >= x.until && x.fails:
 			w.end(r, s, work.Failed)
 		case w.now >= x.until:
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -23,14 +23,17 @@
 		return
 	}
 	w := c.worker(e.Worker.Life, e.Agent)
+	lag, ok := w.arrived(c.now, e.Word)
+	if !ok {
+		c.emit(Note{Kind: "overtaken", Worker: w.ID, Took: lag})
+		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term}})
+		return
+	}
 	c.unix.add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
 	c.succeed(w)
 	fresh := !w.known || w.Leaving != e.Worker.Leaving
 	w.Worker = e.Worker
 	w.heard = c.now
-	if e.Word.Process != w.word.Process || e.Word.Sent > w.word.Sent {
-		w.word = e.Word
-	}
 	w.known = true
 	if fresh {
 		c.moved = true
@@ -40,7 +43,7 @@
 		c.ended(w, x)
 	}
 	if e.Listed {
-		c.listed(w, e.Running, c.now-time.Duration(e.Age)*time.Millisecond)
+		c.listed(w, e.Running, c.now-lag-time.Duration(e.Age)*time.Millisecond)
 	}
 	c.lease(w, e)
 	c.answer(w, e)
@@ -277,6 +280,12 @@
 
 // listed compares what a worker runs, as of a time, with what it should.
 func (c *Core) listed(w *worker, all []work.Running, at time.Duration) {
+	// An agent repeats its last list while the worker gives no answer; that shows
+	// no standstill.
+	fresh := at > w.listedAt+margin
+	if fresh {
+		w.listedAt = at
+	}
 	seen := map[*place]bool{}
 	for _, r := range all {
 		p := c.placeOf(w, r.Run)
@@ -285,7 +294,11 @@
 			continue
 		}
 		seen[p] = true
+		before := p.percent
 		c.progress(p, r)
+		if fresh {
+			c.watchHeadway(p, before)
+		}
 	}
 	c.observe(w, seen)
 	for _, p := range sorted(w.places) {
@@ -340,12 +353,10 @@
 	if r.Saved != "" {
 		p.saved = r.Saved
 	}
-	before := p.percent
 	p.percent = r.Percent
 	p.figure = r.Figure
 	c.advance(p)
 	c.starve(p)
-	c.watchHeadway(p, before)
 }
 
 // stray ends a run that nothing is known of: its place was given up, or it was
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -31,7 +31,9 @@
 	forgets []sched.Forget
 	states  map[string]work.State
 	// day is what each worker's time of day is ahead of its true one.
-	day     map[*bench]time.Duration
+	day map[*bench]time.Duration
+	// grace is how long a stop takes.
+	grace   time.Duration
 	learned []byte
 }
 
@@ -45,12 +47,16 @@
 	runs  map[work.Run]*ran
 	ends  []work.End
 	n     int64
+	// process counts the starts of the agent.
+	process int64
 }
 
 // ran is a run with what the worker says of it.
 type ran struct {
 	percent int
 	figure  int64
+	// ends is when a stop that was taken is over, or 0.
+	ends time.Duration
 }
 
 const (
@@ -80,19 +86,27 @@
 	for end := s.now + d; s.now < end; {
 		s.now += siteTick
 		for _, w := range s.workers {
+			for r, x := range w.runs {
+				if x.ends > 0 && s.now >= x.ends {
+					s.end(w, r, work.Stopped)
+				}
+			}
 			s.report(w)
 		}
 		s.step(sched.Tick{})
 	}
 }
 
-func (s *site) report(w *bench) {
-	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Unix: (s.unix() + s.day[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.Word{Process: 1, Sent: s.now}}
+func (s *site) report(w *bench) { s.step(sched.Report{Report: s.compose(w)}) }
+
+// compose returns what a worker's agent would report now.
+func (s *site) compose(w *bench) work.Report {
+	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Unix: (s.unix() + s.day[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.Word{Process: 1 + w.process, Sent: s.now}}
 	for _, k := range slices.SortedFunc(maps.Keys(w.runs), func(a, b work.Run) int { return int(a.Num - b.Num) }) {
 		x := w.runs[k]
 		r.Running = append(r.Running, work.Running{Run: k, Percent: x.percent, Figure: x.figure})
 	}
-	s.step(sched.Report{Report: r})
+	return r
 }
 
 func (s *site) step(e sched.Event) {
@@ -129,12 +143,21 @@
 		res.Starts = append(res.Starts, work.Result{Run: x.Run, Code: work.Started})
 	}
 	for _, x := range f.Order.Stops {
-		s.end(w, x, work.Stopped)
+		s.stop(w, x)
 		res.Stops = append(res.Stops, x)
 	}
 	s.step(sched.Results{Results: res})
 }
 
+// stop begins the stop of a run.
+func (s *site) stop(w *bench, r work.Run) {
+	if s.grace == 0 {
+		s.end(w, r, work.Stopped)
+	} else if x := w.runs[r]; x != nil && x.ends == 0 {
+		x.ends = s.now + s.grace
+	}
+}
+
 // end ends a run on a worker.
 func (s *site) end(w *bench, r work.Run, how work.How) {
 	if w.runs[r] == nil {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -30,6 +30,13 @@
 	// report.
 	known bool
 	word  work.Word
+	// former holds the earlier processes of the agent, and transit the least time,
+	// but for a constant, that a report of the present one was under way.
+	former  map[int64]bool
+	transit time.Duration
+	timed   time.Duration
+	// listedAt is as of when the newest list was.
+	listedAt time.Duration
 	// seen is the highest end that was taken in, and noted the highest that is
 	// stored.
 	seen, noted int64
@@ -81,6 +88,34 @@
 	return w
 }
 
+// arrived takes in when a report was sent. It returns how much longer than usual
+// the report was under way, and false if a newer one came before it: a report that
+// was held up says what was, not what is.
+func (w *worker) arrived(now time.Duration, word work.Word) (lag time.Duration, ok bool) {
+	transit := now - word.Sent
+	switch {
+	case w.timed > 0 && word.Process == w.word.Process:
+		// Clocks drift a little; the least time must not stay for ever.
+		least := min(transit, w.transit+time.Duration(slewRate*float64(now-w.timed)))
+		if word.Sent < w.word.Sent {
+			return transit - least, false
+		}
+		w.transit = least
+	case w.former[word.Process]:
+		return 0, false
+	default:
+		if w.former == nil {
+			w.former = map[int64]bool{}
+		}
+		if w.timed > 0 {
+			w.former[w.word.Process] = true
+		}
+		w.transit = transit
+	}
+	w.word, w.timed = word, max(1, now)
+	return transit - w.transit, true
+}
+
 func lifeKey(l work.Life) string {
 	return l.ID + "/" + strconv.FormatInt(l.Born, 10)
 }
