runner: a start that waits at the agent is not sent once its run was stopped

An agent made three starts at a time and kept each slot until the last try had timed out, so a start waited 2 s. Meanwhile the task had ended elsewhere and the owner had stopped the copy; the agent passed the stop on, and then sent the start that still waited. Ruled out: a start that the worker carried out late (the agent sent it at 6.52 s), the owner (it stopped the copy at 5.02 s and ordered nothing after). Change: a stop marks its run at the agent; a start that waits, or whose order comes after the stop, is answered as late and not sent. A start without an answer gives its slot back after 60 ms. Slots are of the agent, not of one order.

--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -181,6 +181,13 @@
 			delete(r.about, k)
 		}
 	}
+	now := r.Clock.Now()
+	for k, at := range r.stopped {
+		// An order that is older than the trust is refused by its age.
+		if r.orders[k] == nil && now-at > r.Limits.Trust {
+			delete(r.stopped, k)
+		}
+	}
 }
 
 func closed(ch chan struct{}) bool {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -38,8 +38,12 @@
 	startTries = 2
 	// voidTries is how often a start without an answer is called off.
 	voidTries = 3
-	// abreast bounds the calls at the worker at a time.
+	// abreast bounds the starts under way at the worker that still may be answered
+	// soon.
 	abreast = 3
+	// defaultSlotHold is how long a start without an answer keeps others waiting.
+	// A worker answers within a few milliseconds as a rule.
+	defaultSlotHold = 60 * time.Millisecond
 )
 
 func (r *Runner) order(o work.Order) work.Results {
@@ -47,9 +51,8 @@
 		return r.refused(o, code)
 	}
 	var waits []*order
-	slots := make(chan struct{}, abreast)
 	for _, s := range o.Starts {
-		waits = append(waits, r.begin(o, s, slots))
+		waits = append(waits, r.begin(o, s))
 	}
 	stops := make(chan work.Run, len(o.Stops))
 	var all sync.WaitGroup
@@ -102,7 +105,7 @@
 }
 
 // begin starts a run unless that was ordered before.
-func (r *Runner) begin(o work.Order, s work.Start, slots chan struct{}) *order {
+func (r *Runner) begin(o work.Order, s work.Start) *order {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if w := r.orders[s.Run]; w != nil {
@@ -110,11 +113,12 @@
 	}
 	w := &order{done: make(chan struct{}), code: work.Unknown}
 	now := r.Clock.Now()
+	_, stopped := r.stopped[s.Run]
 	switch until := r.lease.until(now); {
 	case r.worker.Leaving:
 		w.code = work.Leaving
 		close(w.done)
-	case until == 0 || !r.lease.fresh(now, o.Word, r.Clock.Epoch()):
+	case stopped || until == 0 || !r.lease.fresh(now, o.Word, r.Clock.Epoch()):
 		w.code = work.Late
 		close(w.done)
 	default:
@@ -122,7 +126,7 @@
 		r.about[s.Run] = s.About
 		go r.run(w, plat.StartRun{
 			Life: o.Life, Run: s.Run, Spec: o.Specs[jobOf(s.Task)], Until: until, Term: o.Term, Saved: s.Saved, Ticket: s.Ticket,
-		}, slots)
+		}, r.slots)
 	}
 	return w
 }
@@ -135,8 +139,11 @@
 // run orders a start of the worker until its fate is known.
 func (r *Runner) run(w *order, s plat.StartRun, slots chan struct{}) {
 	slots <- struct{}{}
+	free := sync.OnceFunc(func() { <-slots })
+	late := time.AfterFunc(r.slotHold, free)
 	code, doubt := r.try(s)
-	<-slots
+	late.Stop()
+	free()
 	if doubt && code != work.Started {
 		// An earlier try may yet be carried out.
 		code = r.callOff(s)
@@ -176,12 +183,13 @@
 	return work.Unknown, true
 }
 
-// valid reports whether an order may still be sent: the term is the newest,
-// the worker the same and takes new work.
+// valid reports whether an order may still be sent: the term is the newest, the
+// worker the same and takes new work, and the run was not stopped meanwhile.
 func (r *Runner) valid(s plat.StartRun) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return s.Term == r.term && s.Life == r.worker.Life && !r.worker.Leaving && r.lease.trusts(r.Clock.Now())
+	_, stopped := r.stopped[s.Run]
+	return !stopped && s.Term == r.term && s.Life == r.worker.Life && !r.worker.Leaving && r.lease.trusts(r.Clock.Now())
 }
 
 // callOff stops a run that may have been started or may yet start. A worker
@@ -199,8 +207,12 @@
 	return work.Unknown
 }
 
-// stop ends a run, and reports whether the worker has taken that.
+// stop ends a run, and reports whether the worker has taken that. A start of the
+// run that waits for its turn, or whose order is still on its way, is not sent.
 func (r *Runner) stop(o work.Order, s work.Run) bool {
+	r.mu.Lock()
+	r.stopped[s] = r.Clock.Now()
+	r.mu.Unlock()
 	ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
 	defer cancel()
 	a, err := r.Runtime.Stop(ctx, plat.StopRun{Life: o.Life, Run: s, Term: o.Term})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -69,8 +69,15 @@
 	listed         bool
 	changed        bool
 	orders         map[work.Run]*order
-	about          map[work.Run]work.About
-	guard          pace.Guard
+	// stopped holds the runs that the owner has stopped, and when, for as long as
+	// an order to start them may still come in.
+	stopped map[work.Run]time.Duration
+	// slots holds a token for each start under way, up to abreast of them, and
+	// slotHold is how long a start without an answer keeps others waiting.
+	slots    chan struct{}
+	slotHold time.Duration
+	about    map[work.Run]work.About
+	guard    pace.Guard
 }
 
 // order is the start of a run that was ordered.
@@ -123,6 +130,9 @@
 	r.running, r.ends = nil, nil
 	r.listed = false
 	r.orders = map[work.Run]*order{}
+	r.stopped = map[work.Run]time.Duration{}
+	r.slots = make(chan struct{}, abreast)
+	r.slotHold = defaultSlotHold
 	r.about = map[work.Run]work.About{}
 	r.guard = pace.Guard{}
 }
