runner: a start without an answer is tried again after 130 ms

Ruled out as harmful: a repeated start counts as one at the worker; answers take a few milliseconds, so a try that is cut short was lost.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -35,7 +35,10 @@
 	resultWait = 900 * time.Millisecond
 	// startTries is how often a start without an answer is tried: the worker
 	// takes a repeated start as one.
-	startTries = 2
+	startTries = 3
+	// startTimeout bounds one try. A worker answers within a few milliseconds as a
+	// rule, and a short task ends late if its start waits for half a second.
+	startTimeout = 130 * time.Millisecond
 	// voidTries is how often a start without an answer is called off.
 	voidTries = 3
 	// abreast bounds the starts under way at the worker that still may be answered
@@ -168,7 +171,7 @@
 		if !r.valid(s) {
 			return work.Late, doubt
 		}
-		ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(r.ctx, startTimeout)
 		a, err := r.Runtime.Start(ctx, s)
 		cancel()
 		if err == nil {
