sched: tasks that fill leave more room to serving tasks while their jobs can wait

One margin served jobs that can wait and jobs that can't. Change: a job with more than 2 s to spare leaves 0.15 of stress unless tasks that ask for a quarter of the room wait; one that will be late leaves 0.1.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -76,6 +76,8 @@
 	began  time.Duration
 	advice advisor
 	purged time.Duration
+	// crowded says that more tasks that fill wait than will soon find room.
+	crowded bool
 	// vacated is when a worker was emptied of serving tasks last.
 	vacated time.Duration
 	// saved is when what was learned was stored last.
--- a/internal/sched/fill.go
+++ b/internal/sched/fill.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"lagoonrack/internal/press"
@@ -22,6 +23,16 @@
 	calmMargin  = 0.1
 	pressMargin = 0.03
 	calmWait    = time.Second
+	// easyMargin is left by a task whose job has more than easySlack to spare, as
+	// long as there is no crowd: waiting for a calmer worker costs its caller
+	// nothing. lateMargin is left by one whose job will be late anyway, and is
+	// worth less than the serving tasks that it would disturb.
+	easyMargin = 0.15
+	easySlack  = 2 * time.Second
+	lateMargin = 0.1
+	// crowdShare is the share of the processors that waiting tasks which fill ask
+	// for in a crowd: a task that waits then finds less room later.
+	crowdShare = 0.25
 	// covers is how long a measurement looks back.
 	covers = 600 * time.Millisecond
 	// starvedShare is the share of what it asks for below which a task that
@@ -63,12 +74,53 @@
 	return c.pressRoom(s, w) >= c.marginOf(t)
 }
 
-// marginOf falls with the time that a task has waited.
+// marginOf is the room that a task leaves to the serving tasks beside it. It
+// depends on what its job has to lose, and falls with the time that it waited.
 func (c *Core) marginOf(t *task) float64 {
+	switch j := t.step.job; {
+	case j.slack > easySlack && !c.crowded:
+		return easyMargin
+	case j.slack < 0:
+		return lateMargin
+	}
 	waited := min(1, (c.now-t.since).Seconds()/calmWait.Seconds())
 	return calmMargin - waited*(calmMargin-pressMargin)
 }
 
+// watchCrowd notes whether more tasks that fill wait than will soon find room.
+func (c *Core) watchCrowd() {
+	var waiting, size int64
+	for _, j := range c.active {
+		if !j.over() {
+			waiting += j.fillsWait()
+		}
+	}
+	for _, w := range c.opened() {
+		size += w.Size.Cores
+	}
+	c.crowded = float64(waiting) > crowdShare*float64(size)
+}
+
+// fillsWait is what the job's tasks that fill and wait ask for, in thousandths of
+// a core.
+func (j *job) fillsWait() int64 {
+	if !slices.ContainsFunc(j.Steps, func(s work.Step) bool { return s.Fills }) {
+		return 0
+	}
+	var sum int64
+	for _, s := range j.turns() {
+		if !s.Fills {
+			continue
+		}
+		for _, t := range s.tasks {
+			if t.waits() {
+				sum += s.Size.Cores
+			}
+		}
+	}
+	return sum
+}
+
 // pressRoom is the least room that a worker's serving tasks would have with a
 // task of the step beside them.
 func (c *Core) pressRoom(s *step, w *worker) float64 {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -31,6 +31,9 @@
 	// due is the objective, and rank the place among jobs of one priority.
 	due  time.Duration
 	rank int
+	// slack is how much later than now the job could go on and still end in time,
+	// or below 0 if it will be late.
+	slack time.Duration
 	// taken is when the job was accepted, by the owner's clock.
 	taken time.Duration
 }
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -100,11 +100,13 @@
 // anything.
 const lateFactor = 3
 
+// rank puts a job among others of its priority, and notes its slack.
 func (c *Core) rank(j *job) int {
 	if j.lasting() || j.Times > 0 {
 		return rankBegun
 	}
 	end := c.now + c.remaining(j)
+	j.slack = j.due - end
 	switch {
 	case end > j.taken+lateFactor*(j.due-j.taken):
 		return rankHopeless
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -284,6 +284,7 @@
 	}
 	c.retire()
 	c.watchGates()
+	c.watchCrowd()
 	c.copyLate()
 	c.preempt()
 	c.vacate()
