--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -103,6 +103,7 @@
 		return
 	}
 	f.config.Store(&version{Config: cfg, raw: raw})
+	f.applied.Store(max(1, int64(f.Clock.Now())))
 	f.leader.Configure(cfg)
 	f.Log.Info(logs.Applied, logs.Fields{"version": cfg.Version, "source": source, "queues": len(cfg.Queues)})
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,6 +56,9 @@
 	// fetching says that the configuration is being fetched from another entry.
 	fetching atomic.Bool
 	apply    sync.Mutex
+	// applied is when the configuration came into force, in nanoseconds of the
+	// clock.
+	applied atomic.Int64
 	// gauge measures the store's clock: how far it is ahead of this process's.
 	gauge atomic.Int64
 	// since is when the store failed a call and has not answered since, in
@@ -118,17 +121,6 @@
 	return nil
 }
 
-func (f *Front) gauges() {
-	f.Tally.Gauge(func() float64 {
-		if c := f.config.Load(); c != nil {
-			return float64(c.Version)
-		}
-		return 0
-	}, "lagoon_settings_version")
-	f.Tally.Gauge(func() float64 { return float64(f.open.Load()) }, "lagoon_requests_open")
-	f.Tally.Gauge(func() float64 { return float64(f.leader.Standing().Owns) }, "lagoon_owned_term")
-}
-
 // Config returns the configuration in force, or nil.
 func (f *Front) Config() *work.Config {
 	if v := f.config.Load(); v != nil {
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -176,3 +176,14 @@
 	l.Log.Info(logs.Released, logs.Fields{"term": t.number})
 	return err == nil
 }
+
+// Census counts what the owner believes, or nothing if this process is not it.
+func (l *Leader) Census() sched.Census {
+	t := l.current()
+	if t == nil {
+		return sched.Census{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return t.core.Census()
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -104,10 +104,27 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.loops.Go(func() { r.loopHold(r.ctx) })
 	r.loops.Go(func() { r.loopReport(r.ctx) })
+	r.gauges()
 	r.Log.Info(logs.Started, logs.Fields{"peer": s.Addr()})
 	return nil
 }
 
+// gauges publishes what this agent believes of the owner and of its worker.
+func (r *Runner) gauges() {
+	each := func(read func(now time.Duration) float64, name string) {
+		r.Tally.Gauge(func() float64 {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return read(r.Clock.Now())
+		}, name)
+	}
+	each(func(time.Duration) float64 { return float64(r.term) }, "lagoon_known_term")
+	each(func(now time.Duration) float64 { return (now - r.lease.word).Seconds() }, "lagoon_owner_silent_seconds")
+	each(func(now time.Duration) float64 { return r.lease.left(now).Seconds() }, "lagoon_lease_left_seconds")
+	each(func(time.Duration) float64 { return float64(len(r.running)) }, "lagoon_runs_listed")
+	each(func(time.Duration) float64 { return float64(len(r.ends)) }, "lagoon_ends_unstored")
+}
+
 // Stop is a planned stop. The tasks run on under the worker's lease, and the
 // agent's next start adopts them.
 func (r *Runner) Stop() {
