sched: each occurrence of a timed job is served by its own times

Cause: a timed job always ranked as begun, with one due time reckoned from its acceptance, so an occurrence that could not be in time any more went before work that could, and its tasks left the margin of work without slack. The wait that lowers a task's margin also began with its occurrence, so that later steps got the smaller one at once. Ruled out: nothing else in the rank of jobs without times changes; they have one occurrence. Change: due time, rank and slack are of an occurrence, which counts from its due time; scheduling goes over occurrences; a wait counts from the step's turn. Tests: an old occurrence goes behind one that is due (failed before), both overlap where there is room; 3,000 sequences of the scheduler pass.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -9,8 +9,12 @@
 // schedule gives places to tasks that wait, in the order of their jobs.
 func (c *Core) schedule() {
 	open := c.opened()
-	for _, j := range c.ranked() {
-		c.scheduleJob(j, open)
+	for _, o := range c.ranked() {
+		for _, s := range o.steps {
+			if s.left > 0 && o.ready(s) && !s.job.over() {
+				c.scheduleStep(s, open)
+			}
+		}
 	}
 }
 
@@ -25,13 +29,6 @@
 	return out
 }
 
-func (c *Core) scheduleJob(j *job, open []*worker) {
-	c.arrive(j)
-	for _, s := range j.turns() {
-		c.scheduleStep(s, open)
-	}
-}
-
 // arrive makes the occurrences whose time has come.
 func (c *Core) arrive(j *job) {
 	if j.Times <= 0 {
@@ -213,7 +210,7 @@
 	j.places[p] = true
 	j.begun = true
 	c.touch(j)
-	c.emit(Note{Kind: "place", Task: p.name(), Run: run, Worker: w.ID, Reason: rankNames[j.rank], Took: c.now - t.since})
+	c.emit(Note{Kind: "place", Task: p.name(), Run: run, Worker: w.ID, Reason: rankNames[t.step.occ.rank], Took: c.waited(t)})
 	c.after(func() { c.ready(p) })
 	c.settle(j)
 }
