leader: takeovers in virtual time, with entries, agents and a store in memory

Change: three entries, three agents and their workers in one bubble of virtual time, with jobs coming all the time; clock.Steady follows package time; the store in memory lists its rows. Tests: the three times, a store that is away for all, a frozen owner that wakes; in each no task starts twice and no start of an older term comes after one of a newer. Without the agents' check of terms no test fails: the state that is stored before each order keeps starts unique by itself.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -12,15 +12,26 @@
 type Clock struct {
 	start time.Time
 	boot  time.Duration
+	// steady says that the time is that of package time.
+	steady bool
 }
 
 // New returns a clock that starts now.
 func New() Clock { return Clock{start: time.Now(), boot: boot()} }
 
+// Steady returns a clock that follows package time, which a test can make virtual.
+// It may stand still while the VM is suspended.
+func Steady() Clock { return Clock{start: time.Now(), steady: true} }
+
 // Now returns the time since the start. It goes on while the VM is suspended,
 // so that a lease does not seem younger for it, and does not follow the time of
 // day, which may jump.
-func (c Clock) Now() time.Duration { return boot() - c.boot }
+func (c Clock) Now() time.Duration {
+	if c.steady {
+		return time.Since(c.start)
+	}
+	return boot() - c.boot
+}
 
 // boot returns the time since the machine started, or that of the steady clock
 // where the system does not tell.
--- a/internal/stand/rows/rows.go
+++ b/internal/stand/rows/rows.go
@@ -3,7 +3,9 @@
 package rows
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,8 +65,13 @@
 			}
 			return s.rows[key], plat.Stamp{Version: s.version}, nil
 		},
-		List: func(context.Context, string) ([]plat.Row, plat.Stamp, error) {
-			return nil, plat.Stamp{Version: s.Version()}, nil
+		List: func(_ context.Context, table string) ([]plat.Row, plat.Stamp, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if turned && s.away {
+				return nil, plat.Stamp{}, plat.ErrRefused
+			}
+			return s.list(table), plat.Stamp{Version: s.version}, nil
 		},
 		Feed: func(context.Context, string, uint64, time.Duration) ([]plat.Row, plat.Stamp, error) {
 			return nil, plat.Stamp{Version: s.Version()}, nil
@@ -80,6 +87,18 @@
 	}
 }
 
+// list returns the rows of a table in the order of their keys.
+func (s *Store) list(table string) []plat.Row {
+	var out []plat.Row
+	for key, r := range s.rows {
+		if t, _, _ := plat.SplitKey(key); t == table {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b plat.Row) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
 func (s *Store) commit(txn plat.Txn) (plat.Stamp, error) {
 	for _, c := range txn.Checks {
 		if s.rows[c.Key].Version != c.Version {
@@ -91,6 +110,10 @@
 		s.rows = map[string]plat.Row{}
 	}
 	for _, w := range txn.Writes {
+		if w.Value == nil {
+			delete(s.rows, w.Key)
+			continue
+		}
 		s.rows[w.Key] = plat.Row{Key: w.Key, Value: w.Value, Version: s.version}
 	}
 	if s.lost > 0 {
