--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -308,6 +308,7 @@
 			continue
 		}
 		delete(c.jobs, id)
+		c.advice.drop(id)
 		c.drops = append(c.drops, StateKey(id))
 		keys := []string{JobKey(id)}
 		if j.cancelled {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -70,9 +70,25 @@
 	}
 }
 
-// candidates lists the workers that may run a step by its queue, labels and
-// the advisor.
+// candidates lists the workers that may run a step by its queue, labels and the
+// advisor, who is asked if tasks wait and no worker is known.
 func (c *Core) candidates(s *step, open []*worker) []*worker {
+	out := c.eligible(s, open)
+	if !c.queues[s.job.Queue].Advised {
+		return out
+	}
+	advised := slices.DeleteFunc(slices.Clone(out), func(w *worker) bool {
+		_, ok := c.ticket(s, w)
+		return !ok
+	})
+	if len(advised) == 0 && s.waiting() {
+		c.consult(s, out)
+	}
+	return advised
+}
+
+// eligible lists the workers that may run a step by its queue and labels.
+func (c *Core) eligible(s *step, open []*worker) []*worker {
 	service := s.job.Service
 	q, ok := c.queues[s.job.Queue]
 	if ok {
@@ -84,17 +100,7 @@
 			out = append(out, w)
 		}
 	}
-	if !q.Advised || !s.waiting() {
-		return out
-	}
-	advised := slices.DeleteFunc(slices.Clone(out), func(w *worker) bool {
-		_, ok := c.ticket(s, w)
-		return !ok
-	})
-	if len(advised) == 0 {
-		c.consult(s, out)
-	}
-	return advised
+	return out
 }
 
 func (s *step) waiting() bool { return slices.ContainsFunc(s.tasks, (*task).waits) }
@@ -226,13 +232,18 @@
 	}
 }
 
-// fitsElsewhere reports whether another worker could take the task of a place.
+// fitsElsewhere reports whether another worker could take the task of a place. The
+// advisor is asked for one if need be.
 func (c *Core) fitsElsewhere(p *place) bool {
-	for _, w := range c.candidates(p.task.step, c.opened()) {
+	s, open := p.task.step, c.opened()
+	for _, w := range c.candidates(s, open) {
 		if w != p.worker && c.fits(p.task, w) {
 			return true
 		}
 	}
+	if c.queues[s.job.Queue].Advised {
+		c.consult(s, c.eligible(s, open))
+	}
 	return false
 }
 
