sched: the advisor is asked once for all workers

Cause, found by reading the change before: a pass over the workers that have news took a worker without a ticket for the only candidate, asked the advisor about it alone, and the answer replaced the tickets for all others. Change: steps on advised queues are tried on all workers, like gangs. Test: a worker that comes while tickets hold leads to no question (2 before, 1 now).

--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -46,6 +46,20 @@
 		Expect(len(s.asks)).To(BeNumerically(">", 1))
 		Expect(s.asks[len(s.asks)-1].Workers).To(ConsistOf("w1"), "w0 was refused for good")
 	})
+	// Found by reading: a pass over the workers with news asked about these alone, and
+	// the answer replaced the tickets for the others.
+	It("keeps its tickets when a worker comes", func() {
+		s := newSite(queues, 2)
+		s.submit("plan", "advised", work.Step{Count: 3, Size: serving(1, 1).Size, Estimate: 500})
+		s.play(siteTick)
+		allow(s, "w0")
+		s.play(time.Second)
+		Expect(s.on("plan")).To(Equal([]int{2}))
+		before := len(s.asks)
+		s.workers = append(s.workers, newSite(queues, 1, 1).workers[1])
+		s.report(s.workers[1])
+		Expect(s.asks).To(HaveLen(before))
+	})
 	// Found by reading: only waiting tasks were held to the advisor's word, so a
 	// lasting task could be stopped for a worker that would not have taken it.
 	It("moves a lasting task only to a worker that it names", func() {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -50,8 +50,9 @@
 		for _, s := range o.steps {
 			switch {
 			case s.left == 0 || !o.ready(s) || s.job.over():
-			case n.all || n.jobs[o.job] || s.Gang:
-				// A gang needs room on several workers at a time.
+			case n.all || n.jobs[o.job] || s.Gang || c.queues[o.job.Queue].Advised:
+				// A gang needs room on several workers at a time, and the advisor is
+				// asked once for all.
 				c.scheduleStep(s, all())
 			case len(changed) > 0:
 				c.scheduleStep(s, changed)
