--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -120,7 +120,7 @@
 	begun map[work.Run]bool
 }
 
-func newFleet(t *testing.T, ctx context.Context) *fleet {
+func newFleet(ctx context.Context, t *testing.T) *fleet {
 	f := &fleet{t: t, ctx: ctx, store: &rows.Store{}, config: &work.Config{
 		Version: 1, Queues: []work.Queue{{Name: "q", Service: "s", Attempts: 3, Stretch: 2, Target: 500}},
 	}}
@@ -448,7 +448,7 @@
 func inFleet(t *testing.T, test func(g *WithT, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleet(t, ctx)
+		f := newFleet(ctx, t)
 		test(NewWithT(t), f)
 		cancel()
 		f.loops.Wait()
