--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -60,8 +60,8 @@
 	held, flying []func()
 	seq          uint64
 	inflight     bool
-	// news says what may be placed that found no place before.
-	news    news
+	// moved says that a placement may succeed that failed before.
+	moved   bool
 	effects []Effect
 	out     []*worker
 	learned table
@@ -111,7 +111,7 @@
 		declined: map[string]Refuse{},
 		granted:  map[string]grant{},
 		began:    now,
-		news:     news{all: true},
+		moved:    true,
 	}
 	c.configure(config)
 	c.remember(found.Learned)
@@ -153,7 +153,10 @@
 	case Tick:
 		c.tick()
 	}
-	c.schedule()
+	if c.moved {
+		c.moved = false
+		c.schedule()
+	}
 	c.flush()
 	c.send()
 	return c.effects
@@ -179,7 +182,7 @@
 		c.lowest = max(c.lowest, q.Priority)
 	}
 	c.mixed = slices.ContainsFunc(cfg.Queues, func(q work.Queue) bool { return q.Priority < c.lowest })
-	c.news.all = true
+	c.moved = true
 }
 
 // touch marks a job whose state is to be stored.
@@ -305,7 +308,6 @@
 			continue
 		}
 		delete(c.jobs, id)
-		c.advice.drop(id)
 		c.drops = append(c.drops, StateKey(id))
 		keys := []string{JobKey(id)}
 		if j.cancelled {
