sched, runner: an agent's new process proves that it is the present one

A late report of an earlier process that came after the first of the present one made that one "former", and all its reports were dropped for ever: a worker was lost until its agent or the owner changed, and jobs that needed it stood still. Change: an unknown process is given a number, and its reports count once it repeats it; one that has ended can't. Numbers differ between terms. An agent repeats it at once, one round trip after its start. The list of former processes is gone. Tests: the case in virtual time and one of the agent; the first failed before. The sequences play agents that repeat the number; nothing that they check was changed.

--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -66,7 +66,7 @@
 		Cut:     r.lease.silent,
 		Gone:    r.gone,
 		Unix:    time.Now().UnixMilli(),
-		Word:    work.Word{Process: r.Clock.Epoch(), Sent: now},
+		Word:    work.Word{Process: r.Clock.Epoch(), Sent: now, Echo: r.echo},
 		Listed:  r.listed && !r.lease.silent,
 		Running: r.running,
 		Age:     (now - r.listedAt).Milliseconds(),
@@ -131,6 +131,11 @@
 		return false
 	}
 	r.heard(rpl.Term, owner)
+	if rpl.Challenge != 0 {
+		r.echo = rpl.Challenge
+		signal(r.news)
+		return true
+	}
 	if rep.Worker.Life != r.worker.Life {
 		return true
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -58,6 +58,8 @@
 	term    uint64
 	owner   string
 	entries map[string]time.Duration
+	// echo is the newest challenge of an owner, or 0.
+	echo uint64
 	// avoid is an owner's address that the title named and that gave no answer.
 	avoid string
 	// seen is the highest end that the owner has stored, and reported the highest
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -58,6 +58,8 @@
 	allowed bool
 	// process counts the starts of the agent.
 	process int64
+	// echo is the newest challenge that the process got.
+	echo uint64
 }
 
 type running struct {
@@ -181,6 +183,7 @@
 func (r *runner) restart() {
 	r.term, r.heard, r.allowed, r.word = 0, false, false, 0
 	r.process++
+	r.echo = 0
 }
 
 // elect makes a new owner from what is stored.
@@ -549,7 +552,7 @@
 		o = w.owners[w.rng.IntN(len(w.owners))]
 	}
 	rep := work.Report{
-		Word:  work.Word{Process: r.process, Sent: w.now},
+		Word:  work.Word{Process: r.process, Sent: w.now, Echo: r.echo},
 		Agent: r.addr, Listed: true, Unix: w.now.Milliseconds(),
 		Worker: work.Worker{Life: work.Life{ID: r.id, Born: r.born}, Service: "s", Size: r.size, Leaving: r.leaving, Remaining: 2000},
 		Ends:   slices.Clone(r.ends),
@@ -561,7 +564,7 @@
 		}
 		rep.Running = append(rep.Running, work.Running{Run: x, Percent: percent})
 	}
-	sent, born := w.now, r.born
+	sent, born, process := w.now, r.born, r.process
 	w.after(w.way(), func() {
 		if o.dead {
 			return
@@ -569,7 +572,13 @@
 		w.token++
 		token := w.token
 		w.tokens[token] = func(rpl work.Reply) {
-			w.after(w.way(), func() { w.replied(r, rpl, sent, born) })
+			w.after(w.way(), func() {
+				if rpl.Challenge == 0 {
+					w.replied(r, rpl, sent, born)
+				} else if r.process == process && !r.cut {
+					r.echo = rpl.Challenge
+				}
+			})
 		}
 		w.step(o, sched.Report{Token: token, Report: rep})
 	})
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -66,6 +66,8 @@
 	out     []*worker
 	learned table
 	press   press.Table
+	// challenges counts the numbers that were given to processes of agents.
+	challenges uint64
 	// gates decide on lasting jobs, by service, and declined holds the rows of
 	// jobs that were sent away.
 	gates    map[string]*intake.Gate
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -26,7 +26,7 @@
 	lag, ok := w.arrived(c.now, e.Word)
 	if !ok {
 		c.emit(Note{Kind: "overtaken", Worker: w.ID, Took: lag})
-		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term}})
+		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term, Challenge: c.challenged(w, e.Word)}})
 		return
 	}
 	c.unix.add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -30,7 +30,9 @@
 	notes   []sched.Note
 	forgets []sched.Forget
 	asks    []sched.Ask
-	states  map[string]work.State
+	// challenge is that of the newest answer to a report, or 0.
+	challenge uint64
+	states    map[string]work.State
 	// day is what each worker's time of day is ahead of its true one.
 	day map[*bench]time.Duration
 	// grace is how long a stop takes.
@@ -50,6 +52,8 @@
 	n     int64
 	// process counts the starts of the agent.
 	process int64
+	// echo is the newest challenge that the process got.
+	echo uint64
 }
 
 // ran is a run with what the worker says of it.
@@ -98,11 +102,19 @@
 	}
 }
 
-func (s *site) report(w *bench) { s.step(sched.Report{Report: s.compose(w)}) }
+// report passes a report on, and another one if the owner asks for that.
+func (s *site) report(w *bench) {
+	s.challenge = 0
+	s.step(sched.Report{Report: s.compose(w)})
+	if s.challenge != 0 {
+		w.echo = s.challenge
+		s.step(sched.Report{Report: s.compose(w)})
+	}
+}
 
 // compose returns what a worker's agent would report now.
 func (s *site) compose(w *bench) work.Report {
-	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Unix: (s.unix() + s.day[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.Word{Process: 1 + w.process, Sent: s.now}}
+	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Unix: (s.unix() + s.day[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.Word{Process: 1 + w.process, Sent: s.now, Echo: w.echo}}
 	for _, k := range slices.SortedFunc(maps.Keys(w.runs), func(a, b work.Run) int { return int(a.Num - b.Num) }) {
 		x := w.runs[k]
 		r.Running = append(r.Running, work.Running{Run: k, Percent: x.percent, Figure: x.figure})
@@ -124,6 +136,8 @@
 			s.carryOut(f)
 		case sched.Forget:
 			s.forgets = append(s.forgets, f)
+		case sched.Reply:
+			s.challenge = f.Challenge
 		case sched.Ask:
 			s.asks = append(s.asks, f)
 		case sched.Note:
--- a/internal/sched/stale_test.go
+++ b/internal/sched/stale_test.go
@@ -72,6 +72,22 @@
 		s.step(sched.Report{Report: old})
 		Expect(s.on("job")).To(Equal([]int{1, 0}))
 	})
+	// Chaos, seed 10740: the owner first heard the present process, then a late report
+	// of the one before, and dropped all that the present one said from then on.
+	It("of an earlier process that comes after the first of the present one silences nobody", func() {
+		s := newSite(siteQueues, 16)
+		w := s.workers[0]
+		w.process = 1
+		late := s.compose(w)
+		w.process = 2
+		s.play(siteTick)
+		s.step(sched.Report{Report: late})
+		s.play(2 * time.Second)
+		Expect(s.core.Census().Ready).To(Equal(1))
+		s.submit("job", "short", short(1, false))
+		s.play(500 * time.Millisecond)
+		Expect(s.on("job")).To(Equal([]int{1}))
+	})
 	It("that repeats an old list shows no standstill", func() {
 		s := newSite(siteQueues, 16, 16)
 		s.submit("job", "short", short(1, false))
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -30,11 +30,13 @@
 	// report.
 	known bool
 	word  work.Word
-	// former holds the earlier processes of the agent, and transit the least time,
-	// but for a constant, that a report of the present one was under way.
-	former  map[int64]bool
+	// transit is the least time, but for a constant, that a report of the present
+	// process was under way.
 	transit time.Duration
-	timed   time.Duration
+	// challenge is the number that another process of the agent has to repeat before
+	// its reports count.
+	challenge challenge
+	timed     time.Duration
 	// listedAt is as of when the newest list was.
 	listedAt time.Duration
 	// seen is the highest end that was taken in, and noted the highest that is
@@ -88,9 +90,34 @@
 	return w
 }
 
+// challenge is a number that was given to a process, or 0.
+type challenge struct {
+	process int64
+	number  uint64
+}
+
+// challenged returns the number that the process of a report has to repeat, or 0 if
+// it is the one that was heard last.
+func (c *Core) challenged(w *worker, word work.Word) uint64 {
+	if word.Process == w.word.Process {
+		return 0
+	}
+	if w.challenge.process != word.Process || w.challenge.number == 0 {
+		c.challenges++
+		w.challenge = challenge{word.Process, c.term<<challengeBits | c.challenges}
+	}
+	return w.challenge.number
+}
+
+// challengeBits is the room for the challenges of one term: owners of different terms
+// never give the same number.
+const challengeBits = 32
+
 // arrived takes in when a report was sent. It returns how much longer than usual
 // the report was under way, and false if a newer one came before it: a report that
-// was held up says what was, not what is.
+// was held up says what was, not what is. Which of two processes of an agent is the
+// newer one can't be told by when their reports arrive, nor by the time of day at
+// which they began; a process that has ended repeats no number.
 func (w *worker) arrived(now time.Duration, word work.Word) (lag time.Duration, ok bool) {
 	transit := now - word.Sent
 	switch {
@@ -101,15 +128,10 @@
 			return transit - least, false
 		}
 		w.transit = least
-	case w.former[word.Process]:
+	case w.timed > 0 && (w.challenge.number == 0 || w.challenge != challenge{word.Process, word.Echo}):
 		return 0, false
 	default:
-		if w.former == nil {
-			w.former = map[int64]bool{}
-		}
-		if w.timed > 0 {
-			w.former[w.word.Process] = true
-		}
+		w.challenge = challenge{}
 		w.transit = transit
 	}
 	w.word, w.timed = word, max(1, now)
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -9,6 +9,8 @@
 type Word struct {
 	Process int64         `cbor:"1,keyasint"`
 	Sent    time.Duration `cbor:"2,keyasint"`
+	// Echo repeats the newest challenge that the process got, or is 0.
+	Echo uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Report is what an agent tells the owner of its worker.
@@ -56,6 +58,10 @@
 	// the tails, in milliseconds, of serving images that are idle.
 	Press []Press            `cbor:"7,keyasint,omitempty"`
 	Bases map[string]float64 `cbor:"8,keyasint,omitempty"`
+	// Challenge, if it is not 0, says that the report was not taken in: the owner
+	// last heard another process of this agent. Only a report that repeats the
+	// number shows that its process is the present one.
+	Challenge uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // About tells an agent what it has to know of a run to guard it.
