--- a/internal/runner/report_test.go
+++ b/internal/runner/report_test.go
@@ -4,13 +4,17 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/work"
 )
 
 var _ = Describe("an agent that the owner does not know to be the present one", func() {
 	It("repeats the number at once, and takes the answer for no word on its lease", func() {
 		r := newAgent(&mute{})
-		r.news = make(chan struct{}, 1)
+		server, err := rpcs.Listen("127.0.0.1:0", map[string]any{work.AgentService: &Peer{runner: r}})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		r.server, r.news = server, make(chan struct{}, 1)
 		word := r.lease.word
 		rep, ok := r.compose()
 		Expect(ok).To(BeTrue())
