sched: a task that stands still wherever it is tried is given ever more time

Cause: a run whose progress does not change for 1.2 s (or 4% of the usual time) is taken off its worker. A task that shows a hundredth less often than that, since its estimate is far too low, was started anew without end: 33 runs in 45 s in the new test, and never an end.

Ruled out: giving the task's standstills up as failures (they cost attempts, which a worker that stalls all it runs must not burn).

After two standstills of one task each further one is waited for twice as long. Before 33 runs in 45 virtual seconds, after at most 6; the two first waits, which answer workers that stall, are as before.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -79,8 +79,10 @@
 	// goal is the worker that a moved task is to go to, until goalUntil.
 	goal      *worker
 	goalUntil time.Duration
-	// bad lists workers on which the task failed.
+	// bad lists workers on which the task failed or stood still.
 	bad []string
+	// stalls counts the runs that were given up since they stood still.
+	stalls int
 	// since is when the task came to need a place.
 	since time.Duration
 }
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -21,6 +21,11 @@
 	// need before a copy is started, and copiesMost the most runs of one task.
 	lateCopy   = 1.3
 	copiesMost = 2
+	// patientAfter is the number of standstills of a task after which each
+	// further one is waited for twice as long as the one before: it may be the
+	// task that shows its progress seldom. patienceMost bounds the doublings.
+	patientAfter = 2
+	patienceMost = 8
 )
 
 // watchHeadway takes in that a worker listed a run, with the progress that it
@@ -34,13 +39,19 @@
 		p.still = c.now
 		return
 	}
-	usual, _ := c.learned.estimate(s.job.Queue, s.Step)
-	if c.now-p.still < max(stillFor, time.Duration(stillShare*float64(usual))) || p.percent >= full {
+	if c.now-p.still < c.patience(p.task) || p.percent >= full {
 		return
 	}
 	c.stalled(p)
 }
 
+// patience is how long the progress of a task may stand still.
+func (c *Core) patience(t *task) time.Duration {
+	usual, _ := c.learned.estimate(t.step.job.Queue, t.step.Step)
+	base := max(stillFor, time.Duration(stillShare*float64(usual)))
+	return base << min(max(t.stalls+1-patientAfter, 0), patienceMost)
+}
+
 // stalled gives a run up that stands still. It counts against the worker like a
 // failure, but not against the task.
 func (c *Core) stalled(p *place) {
@@ -49,6 +60,7 @@
 	if w.streak == suspectAfter {
 		c.emit(Note{Kind: "suspect", Worker: w.ID, Reason: "stalls"})
 	}
+	p.task.stalls++
 	p.task.bad = append(p.task.bad, w.ID)
 	c.keepOff(p, "stalled")
 }
--- a/internal/sched/stall_test.go
+++ b/internal/sched/stall_test.go
@@ -46,6 +46,13 @@
 		Expect(s.moves("stalled")).To(BeZero())
 		Expect(s.on("job")).To(Equal([]int{4, 0}))
 	})
+	It("is given ever more time if it stands still wherever it is tried", func() {
+		s := newSite(siteQueues, 16, 16)
+		s.submit("job", "short", short(1, false))
+		s.play(45 * time.Second)
+		Expect(s.moves("stalled")).To(BeNumerically("<=", 6), "a run that shows a percent each 6 s would never end")
+		Expect(s.moves("stalled")).To(BeNumerically(">=", 4))
+	})
 	It("gets a copy where the step allows one, and the first end counts", func() {
 		s := newSite(siteQueues, 16, 16)
 		s.submit("job", "short", short(1, true))
