--- a/internal/traces/traces.go
+++ b/internal/traces/traces.go
@@ -164,7 +164,7 @@
 		return "an entry could not find out whether it was stored, and no owner took it up in these logs"
 	}
 	if refusals > 0 && !accepted && len(steps(own)) == 0 {
-		return fmt.Sprintf("refused %d times, last because of %q: it never ran", refusals, reason)
+		return fmt.Sprintf("refused %s, last because of %q: it never ran", count(refusals, "time"), reason)
 	}
 	switch {
 	case kind(own, "fail") != nil:
@@ -212,7 +212,7 @@
 	if worst == "" {
 		return "given up: a task failed too often, under an earlier owner"
 	}
-	return fmt.Sprintf("given up: task %s failed %d times, on %s", worst, len(where[worst]), strings.Join(where[worst], ", "))
+	return fmt.Sprintf("given up: task %s failed %s, on %s", worst, count(len(where[worst]), "time"), strings.Join(where[worst], ", "))
 }
 
 // shortWait is the wait for a place, in milliseconds, that needs no mention.
@@ -221,7 +221,7 @@
 // slowest tells what kept a job most: waits for a place, lost and moved runs.
 func slowest(own []Line) string {
 	var longest *Line
-	ends := map[string]int{}
+	ends := map[string][]string{}
 	for i, l := range own {
 		switch l.field("kind") {
 		case "place":
@@ -230,7 +230,8 @@
 			}
 		case "end", "vanish", "refused":
 			if r := l.field("reason"); r != "done" {
-				ends[l.field("kind")+" "+r]++
+				what := l.field("kind") + " " + r
+				ends[what] = append(ends[what], l.field("worker"))
 			}
 		}
 	}
@@ -239,7 +240,9 @@
 		parts = append(parts, fmt.Sprintf("task %s waited %s for a place", longest.field("task"), span(longest.took())))
 	}
 	for _, k := range slices.Sorted(maps.Keys(ends)) {
-		parts = append(parts, fmt.Sprintf("%d runs: %s", ends[k], k))
+		on := slices.Clone(ends[k])
+		slices.Sort(on)
+		parts = append(parts, fmt.Sprintf("%s: %s, on %s", count(len(ends[k]), "run"), k, strings.Join(slices.Compact(on), ", ")))
 	}
 	if len(parts) == 0 {
 		return "no wait, no run was lost"
@@ -247,6 +250,14 @@
 	return strings.Join(parts, "; ")
 }
 
+// count returns a number with its noun.
+func count(n int, noun string) string {
+	if n != 1 {
+		noun += "s"
+	}
+	return fmt.Sprint(n, " ", noun)
+}
+
 func span(ms float64) string { return (time.Duration(ms) * time.Millisecond).String() }
 
 // Print writes a trace in words.
--- a/internal/traces/traces_test.go
+++ b/internal/traces/traces_test.go
@@ -50,7 +50,7 @@
 func TestCauses(t *testing.T) {
 	for job, want := range map[string]string{
 		"0241e45b2391f2d2": `refused 2 times, last because of "store": it never ran`,
-		"00000000000000b1": "completed after 5.8s; task 00000000000000b1.0.0.0 waited 1.104s for a place; 1 runs: vanish reborn",
+		"00000000000000b1": "completed after 5.8s; task 00000000000000b1.0.0.0 waited 1.104s for a place; 1 run: vanish reborn, on i-1",
 		"00000000000000c1": "given up: task 00000000000000c1.0.0.3 failed 2 times, on i-1, i-2",
 	} {
 		t.Run(job, func(t *testing.T) {
