front, leader: a slow store is waited for as long as it needs, and a late try still counts

Cause: a call of the store was given up after 0.5 to 0.8 s whatever the store needed; at 84 times the usual time a transaction takes 0.6 s and those behind it longer. What was given up was done all the same, so the caller was left in doubt (504), the entry took the store to be away, and each try came again after 15 ms until the parts of the store turned calls away. The owner's commits went the same way, and the cell changed hands for nothing.

* `internal/await` learns from the answers how long a call may take at present.
* The rows of a state are read beside one another.
* An owner's wait for a store that is slow for all is not counted as being cut off.

Ruled out: longer waits for all calls (a store that gives no answer would be noticed later: tests hold 0.75 s for one lost answer).

--- a/internal/front/decline_test.go
+++ b/internal/front/decline_test.go
@@ -110,7 +110,7 @@
 			}
 			return read(ctx, key)
 		}
-		f.tried(plat.ErrRefused)
+		f.tried(0, plat.ErrRefused)
 		Expect(f.away()).To(BeTrue())
 		Eventually(f.away, relayTimeout/2).Should(BeFalse())
 		f.loops.Wait()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"lagoonrack/internal/await"
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/leader"
@@ -61,9 +62,13 @@
 	applied atomic.Int64
 	// gauge measures the store's clock: how far it is ahead of this process's.
 	gauge atomic.Int64
+	// limit is how long the store is waited for.
+	limit await.Limit
 	// since is when the store failed a call and has not answered since, in
 	// nanoseconds of the clock, or 0.
 	since atomic.Int64
+	// probing says that a loop tests whether the store is back.
+	probing atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -101,6 +106,7 @@
 		Addr:   s.Addr(),
 		Rows:   f.Rows,
 		Via:    plat.Rows{Read: f.readStamped, Commit: f.commit},
+		Limit:  &f.limit,
 		Clock:  f.Clock,
 		Log:    f.Log,
 		Tally:  f.Tally,
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -1,9 +1,9 @@
 package front
 
 import (
-	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"lagoonrack/internal/clock"
@@ -40,13 +40,9 @@
 }
 
 const (
-	// tryTimeout bounds one write; a slow store answers within 250 ms.
+	// tryTimeout bounds one call while the store is not known to be slow; sixty
+	// times as slow as usual it answers within 250 ms.
 	tryTimeout = 600 * time.Millisecond
-	// refuseAfter is how long a store that turns calls away is tried before the
-	// caller is sent away: less than a quarter of the shortest objective.
-	refuseAfter = 45 * time.Millisecond
-	// tryPause is the wait between two tries.
-	tryPause = 15 * time.Millisecond
 	// soonest and latest bound when a caller should come back that was refused
 	// because the store is away.
 	soonest, latest = time.Second, 3 * time.Second
@@ -143,63 +139,6 @@
 	return Outcome{Fate: Refused, Reason: reason, After: after}
 }
 
-// write creates a row, or replaces one that may be, and repeats that until its
-// fate is certain or the caller's time is over. The fate is Written if the row
-// holds the value, and Stored if another one is there that stays.
-func (f *Front) write(ctx context.Context, key string, value []byte, may func(plat.Row) bool) Outcome {
-	began := f.Clock.Now()
-	doubt := false
-	var version uint64
-	for {
-		c, cancel := context.WithTimeout(ctx, tryTimeout)
-		s, err := f.commit(c, plat.Txn{
-			Checks: []plat.Check{{Key: key, Version: version}},
-			Writes: []plat.Write{{Key: key, Value: value}},
-		})
-		if errors.Is(err, plat.ErrConflict) {
-			var row plat.Row
-			if row, err = f.read(c, key); err == nil && row.Version != 0 && (!may(row) || bytes.Equal(row.Value, value)) {
-				cancel()
-				return present(row, value)
-			}
-			if err == nil {
-				version, err = row.Version, plat.ErrConflict
-			}
-			// The row is there, so the caller can't be told that nothing is.
-			doubt = true
-		}
-		cancel()
-		switch {
-		case err == nil:
-			f.stamped(s)
-			return Outcome{Fate: Written}
-		case !errors.Is(err, plat.ErrRefused):
-			doubt = true
-		}
-		if !errors.Is(err, plat.ErrConflict) {
-			f.storeFailed("write row", err)
-			if !doubt && f.Clock.Now()-began > refuseAfter {
-				return Outcome{Fate: Refused, Reason: "store", After: f.outageAfter()}
-			}
-			clock.Sleep(ctx, tryPause)
-		}
-		if ctx.Err() != nil {
-			if doubt {
-				return Outcome{Fate: Doubtful}
-			}
-			return Outcome{Fate: Refused, Reason: "store", After: f.outageAfter()}
-		}
-	}
-}
-
-// present tells a row of an earlier try of the same write from another.
-func present(row plat.Row, value []byte) Outcome {
-	if bytes.Equal(row.Value, value) {
-		return Outcome{Fate: Written}
-	}
-	return Outcome{Fate: Stored}
-}
-
 // outageAfter is when a caller should come back while the store is away. An outage
 // is taken to last as long again as it has so far: callers come back soon from a
 // short one, and the few calls that they make outlast a longer one.
@@ -270,7 +209,7 @@
 		return true, nil
 	}
 	for {
-		c, cancel := context.WithTimeout(ctx, tryTimeout)
+		c, cancel := f.within(ctx, tryTimeout)
 		row, err := f.read(c, sched.JobKey(id))
 		cancel()
 		if err == nil {
@@ -331,26 +270,27 @@
 
 // readState reads the state of a job from its rows.
 func (f *Front) readState(ctx context.Context, id string) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := f.within(ctx, tryTimeout)
 	defer cancel()
-	row, err := f.read(ctx, sched.JobKey(id))
-	if err != nil || row.Version == 0 || wasRefused(row) {
+	keys := []string{sched.JobKey(id), sched.StateKey(id), sched.CancelKey(id)}
+	found := make([]plat.Row, len(keys))
+	errs := make([]error, len(keys))
+	var all sync.WaitGroup
+	for i, k := range keys {
+		all.Go(func() { found[i], errs[i] = f.read(ctx, k) })
+	}
+	all.Wait()
+	job, state, cancelled := found[0], found[1], found[2]
+	if err := errors.Join(errs...); err != nil || job.Version == 0 || wasRefused(job) {
 		return "", err
 	}
 	var st work.State
-	if row, err = f.read(ctx, sched.StateKey(id)); err != nil {
-		return "", err
-	}
-	if row.Version != 0 {
-		if err := work.Decode(row.Value, &st); err != nil {
+	if state.Version != 0 {
+		if err := work.Decode(state.Value, &st); err != nil {
 			return "", fault.At("decode state", id).Wrap(err)
 		}
 	}
-	row, err = f.read(ctx, sched.CancelKey(id))
-	if err != nil {
-		return "", err
-	}
-	return sched.Shown(st, row.Version != 0), nil
+	return sched.Shown(st, cancelled.Version != 0), nil
 }
 
 // Pending counts the jobs of a queue of which no task was started. It is at
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -68,10 +68,9 @@
 		*out = Relayed{Code: codeRefused}
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(p.front.ctx, relayTimeout)
+	ctx, cancel := p.front.within(p.front.ctx, relayTimeout)
 	defer cancel()
-	s, err := p.front.Rows.Commit(ctx, txn)
-	p.front.tried(err)
+	s, err := p.front.commitHere(ctx, txn)
 	*out = Relayed{Stamp: s, Code: codeOf(err)}
 	return nil
 }
@@ -82,10 +81,9 @@
 		*out = Relayed{Code: codeRefused}
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(p.front.ctx, relayTimeout)
+	ctx, cancel := p.front.within(p.front.ctx, relayTimeout)
 	defer cancel()
-	row, s, err := p.front.Rows.Read(ctx, key)
-	p.front.tried(err)
+	row, s, err := p.front.readHere(ctx, key)
 	*out = Relayed{Row: row, Stamp: s, Code: codeOf(err)}
 	return nil
 }
@@ -94,14 +92,61 @@
 // since it last answered.
 func (f *Front) away() bool { return f.since.Load() != 0 }
 
+// within bounds a call of the store that usually is given the least.
+func (f *Front) within(ctx context.Context, least time.Duration) (context.Context, context.CancelFunc) {
+	return f.limit.Within(ctx, f.Clock.Now(), least)
+}
+
+// commitHere makes a transaction itself.
+func (f *Front) commitHere(ctx context.Context, txn plat.Txn) (plat.Stamp, error) {
+	began := f.Clock.Now()
+	s, err := f.Rows.Commit(ctx, txn)
+	f.triedBy(ctx, began, err)
+	return s, err
+}
+
+// readHere reads a row itself.
+func (f *Front) readHere(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
+	began := f.Clock.Now()
+	row, s, err := f.Rows.Read(ctx, key)
+	f.triedBy(ctx, began, err)
+	return row, s, err
+}
+
+// triedBy notes how the store answered a call, unless nobody waited for that any
+// more: then it says nothing of the store.
+func (f *Front) triedBy(ctx context.Context, began time.Duration, err error) {
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		f.tried(began, err)
+	}
+}
+
 // tried notes how the store answered a call.
-func (f *Front) tried(err error) {
-	if err == nil || errors.Is(err, plat.ErrConflict) || f.ctx.Err() != nil {
+func (f *Front) tried(began time.Duration, err error) {
+	now := f.Clock.Now()
+	if err == nil || errors.Is(err, plat.ErrConflict) {
+		f.limit.Answered(now, now-began)
+		f.answered(now)
 		return
 	}
-	if f.since.CompareAndSwap(0, max(1, int64(f.Clock.Now()))) {
+	if f.ctx.Err() != nil {
+		return
+	}
+	if !errors.Is(err, plat.ErrRefused) {
+		f.limit.Missed(now)
+	}
+	if f.since.CompareAndSwap(0, max(1, int64(now))) {
 		f.Log.Info(logs.StoreAway, logs.Fields{"error": err.Error()})
-		f.loops.Go(func() { f.loopProbe(f.ctx) })
+		if !f.probing.Swap(true) {
+			f.loops.Go(func() { f.loopProbe(f.ctx) })
+		}
+	}
+}
+
+// answered notes that the store serves this entry.
+func (f *Front) answered(now time.Duration) {
+	if since := f.since.Swap(0); since != 0 {
+		f.Log.Info(logs.StoreUp, logs.Fields{"ms": (now - time.Duration(since)).Milliseconds()})
 	}
 }
 
@@ -109,19 +154,16 @@
 // served through other entries or sent away at once: no call of theirs is left
 // in doubt for the sake of a test.
 func (f *Front) loopProbe(ctx context.Context) {
-	began := f.Clock.Now()
-	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer f.probing.Store(false)
+	for ctx.Err() == nil && f.away() {
+		c, cancel := f.within(ctx, relayTimeout)
 		// The entry's own row is small. The configuration may have half a megabyte,
 		// which a thin link carries in half a second.
-		_, _, err := f.Rows.Read(c, liveTable+"/"+f.Name)
+		_, _, err := f.readHere(c, liveTable+"/"+f.Name)
 		cancel()
-		if err == nil {
-			f.since.Store(0)
-			f.Log.Info(logs.StoreUp, logs.Fields{"ms": (f.Clock.Now() - began).Milliseconds()})
-			return
+		if err != nil {
+			clock.Sleep(ctx, probePause)
 		}
-		clock.Sleep(ctx, probePause)
 	}
 }
 
@@ -130,8 +172,7 @@
 	err := plat.ErrRefused
 	var s plat.Stamp
 	if !f.away() {
-		s, err = f.Rows.Commit(ctx, txn)
-		f.tried(err)
+		s, err = f.commitHere(ctx, txn)
 	}
 	if !errors.Is(err, plat.ErrRefused) {
 		return s, err
@@ -143,8 +184,7 @@
 // read reads a row, itself or through another entry.
 func (f *Front) read(ctx context.Context, key string) (plat.Row, error) {
 	if !f.away() {
-		row, _, err := f.Rows.Read(ctx, key)
-		f.tried(err)
+		row, _, err := f.readHere(ctx, key)
 		if err == nil {
 			return row, nil
 		}
@@ -166,7 +206,7 @@
 		if i == relayTries || ctx.Err() != nil {
 			break
 		}
-		c, cancel := context.WithTimeout(ctx, relayTimeout)
+		c, cancel := f.within(ctx, relayTimeout)
 		var r Relayed
 		call := f.pool.Get(addr).Call(c, work.EntryService+"."+method, arg, &r)
 		cancel()
--- a/internal/leader/claim.go
+++ b/internal/leader/claim.go
@@ -37,7 +37,7 @@
 
 // claim makes this process the owner, or returns nil if another was faster.
 func (l *Leader) claim(ctx context.Context) (*term, error) {
-	c, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	c, cancel := context.WithTimeout(ctx, 2*l.Limit.For(l.Clock.Now(), callTimeout))
 	defer cancel()
 	old, row, _, err := readRow[title](c, l.Rows, titleKey)
 	if err != nil {
@@ -65,7 +65,7 @@
 
 // begin reads back whether a claim took effect, and loads the state.
 func (l *Leader) begin(ctx context.Context, mine title) (*term, error) {
-	c, cancel := context.WithTimeout(ctx, 4*callTimeout)
+	c, cancel := context.WithTimeout(ctx, 4*l.Limit.For(l.Clock.Now(), callTimeout))
 	defer cancel()
 	got, row, _, err := readRow[title](c, l.Rows, titleKey)
 	if err != nil {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"lagoonrack/internal/await"
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/elect"
 	"lagoonrack/internal/fault"
@@ -36,7 +37,9 @@
 	// Read and Commit are used. A process claims by Rows alone, so that none
 	// takes the cell over that the store does not serve. Without Via, Rows is
 	// used.
-	Via    plat.Rows
+	Via plat.Rows
+	// Limit says how long the store is waited for; without one that never changes.
+	Limit  *await.Limit
 	Clock  clock.Clock
 	Log    logs.Log
 	Tally  *tally.Set
@@ -145,7 +148,7 @@
 
 // look reads the title.
 func (l *Leader) look(ctx context.Context) {
-	c, cancel := context.WithTimeout(ctx, callTimeout)
+	c, cancel := l.within(ctx)
 	defer cancel()
 	t, _, _, err := readRow[title](c, l.Rows, titleKey)
 	if err != nil {
@@ -204,7 +207,7 @@
 
 // verify reads the title and ends a term that another process has replaced.
 func (l *Leader) verify(t *term) {
-	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	ctx, cancel := l.within(t.ctx)
 	defer cancel()
 	now, row, _, err := readRow[title](ctx, l.Rows, titleKey)
 	if err != nil {
@@ -269,7 +272,8 @@
 	if t := l.term; t != nil {
 		s := Standing{Owns: t.number, Owner: l.Addr, Term: t.number}
 		if t.waiting > 0 {
-			s.Cut = now - t.waiting
+			// A store that is slow for all is no reason to hand the cell over.
+			s.Cut = max(0, now-t.waiting-l.Limit.Extra(now, callTimeout))
 		}
 		return s
 	}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -120,7 +120,7 @@
 // forget removes rows that nobody needs. What fails is left over: it costs a
 // little room, and the next owner removes it.
 func (l *Leader) forget(t *term, f sched.Forget) {
-	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	ctx, cancel := l.within(t.ctx)
 	defer cancel()
 	var writes []plat.Write
 	for _, k := range f.Keys {
@@ -230,7 +230,7 @@
 // attempt tries a transaction once. After an error that leaves its fate open,
 // the next attempt or the mark shows it.
 func (l *Leader) attempt(t *term, seq uint64, writes []plat.Write) (bool, error) {
-	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	ctx, cancel := l.within(t.ctx)
 	defer cancel()
 	s, err := l.Via.Commit(ctx, plat.Txn{
 		Checks: []plat.Check{{Key: titleKey, Version: t.title.Version}, {Key: markKey, Version: t.mark.Version}},
@@ -278,7 +278,7 @@
 }
 
 func (l *Leader) follow(t *term) {
-	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	ctx, cancel := l.within(t.ctx)
 	defer cancel()
 	rows, s, err := l.Rows.Feed(ctx, sched.JobTable, t.from, 0)
 	if errors.Is(err, plat.ErrForgotten) {
--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -99,6 +99,11 @@
 	return found, stamp, nil
 }
 
-// callTimeout bounds one call of the store. Its usual answer takes 4 ms, and a
-// slow one sixty times as long.
+// callTimeout bounds one call of the store while it is not known to be slow. Its
+// usual answer takes 4 ms.
 const callTimeout = 800 * time.Millisecond
+
+// within bounds one call of the store.
+func (l *Leader) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	return l.Limit.Within(ctx, l.Clock.Now(), callTimeout)
+}
