front: an outage that begins while the probe of the last one ends is probed too

Cause: since any answered call ends an outage, and a flag kept a second probe from starting. A call that failed between the last look of a probe and the clearing of its flag began an outage that nobody probed: the entry, which makes no calls of its own meanwhile, relayed or refused all its callers' writes until it was started again.

Each outage now has a probe of its own, known by when it began, and the flag is gone. `tried` is split into `answered` and `failed`, so that a late try no longer names a time that is not used.

--- a/internal/front/decline_test.go
+++ b/internal/front/decline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -110,7 +111,7 @@
 			}
 			return read(ctx, key)
 		}
-		f.tried(0, plat.ErrRefused)
+		f.failed(plat.ErrRefused)
 		Expect(f.away()).To(BeTrue())
 		Eventually(f.away, relayTimeout/2).Should(BeFalse())
 		f.loops.Wait()
@@ -127,3 +128,22 @@
 		}
 	})
 })
+
+// An entry that has noticed an outage makes no calls of its own until a probe is
+// answered, so an outage without a probe would last for ever.
+var _ = Describe("an outage that begins while the probe of the last one ends", func() {
+	It("is probed too", func() {
+		f := newFront(&rows.Store{})
+		f.Name = "entry"
+		for range 100_000 {
+			f.failed(plat.ErrRefused)
+			for began := time.Now(); f.away(); {
+				if time.Since(began) > 5*time.Second {
+					Fail("the store answers, and nobody asks")
+				}
+				runtime.Gosched()
+			}
+		}
+		f.loops.Wait()
+	})
+})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -67,8 +67,6 @@
 	// since is when the store failed a call and has not answered since, in
 	// nanoseconds of the clock, or 0.
 	since atomic.Int64
-	// probing says that a loop tests whether the store is back.
-	probing atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -101,7 +101,7 @@
 func (f *Front) commitHere(ctx context.Context, txn plat.Txn) (plat.Stamp, error) {
 	began := f.Clock.Now()
 	s, err := f.Rows.Commit(ctx, txn)
-	f.triedBy(ctx, began, err)
+	f.tried(ctx, began, err)
 	return s, err
 }
 
@@ -109,53 +109,51 @@
 func (f *Front) readHere(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
 	began := f.Clock.Now()
 	row, s, err := f.Rows.Read(ctx, key)
-	f.triedBy(ctx, began, err)
+	f.tried(ctx, began, err)
 	return row, s, err
 }
 
-// triedBy notes how the store answered a call, unless nobody waited for that any
-// more: then it says nothing of the store.
-func (f *Front) triedBy(ctx context.Context, began time.Duration, err error) {
-	if !errors.Is(ctx.Err(), context.Canceled) {
-		f.tried(began, err)
+// tried notes how the store answered a call. A call that nobody waited for any more
+// says nothing of the store.
+func (f *Front) tried(ctx context.Context, began time.Duration, err error) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+	case err == nil || errors.Is(err, plat.ErrConflict):
+		f.answered(began)
+	default:
+		f.failed(err)
 	}
 }
 
-// tried notes how the store answered a call.
-func (f *Front) tried(began time.Duration, err error) {
+// answered notes that the store serves this entry, and how long a call took.
+func (f *Front) answered(began time.Duration) {
 	now := f.Clock.Now()
-	if err == nil || errors.Is(err, plat.ErrConflict) {
-		f.limit.Answered(now, now-began)
-		f.answered(now)
-		return
+	f.limit.Answered(now, now-began)
+	if since := f.since.Swap(0); since != 0 {
+		f.Log.Info(logs.StoreUp, logs.Fields{"ms": (now - time.Duration(since)).Milliseconds()})
 	}
+}
+
+// failed notes that the store turned a call away or gave no answer.
+func (f *Front) failed(err error) {
 	if f.ctx.Err() != nil {
 		return
 	}
+	now := f.Clock.Now()
 	if !errors.Is(err, plat.ErrRefused) {
 		f.limit.Missed(now)
 	}
-	if f.since.CompareAndSwap(0, max(1, int64(now))) {
+	if since := max(1, int64(now)); f.since.CompareAndSwap(0, since) {
 		f.Log.Info(logs.StoreAway, logs.Fields{"error": err.Error()})
-		if !f.probing.Swap(true) {
-			f.loops.Go(func() { f.loopProbe(f.ctx) })
-		}
-	}
-}
-
-// answered notes that the store serves this entry.
-func (f *Front) answered(now time.Duration) {
-	if since := f.since.Swap(0); since != 0 {
-		f.Log.Info(logs.StoreUp, logs.Fields{"ms": (now - time.Duration(since)).Milliseconds()})
+		f.loops.Go(func() { f.loopProbe(f.ctx, since) })
 	}
 }
 
-// loopProbe reads a row until the store answers again. Callers meanwhile are
-// served through other entries or sent away at once: no call of theirs is left
-// in doubt for the sake of a test.
-func (f *Front) loopProbe(ctx context.Context) {
-	defer f.probing.Store(false)
-	for ctx.Err() == nil && f.away() {
+// loopProbe reads a row until the store has answered after an outage: each outage
+// has a probe of its own. Callers meanwhile are served through other entries or
+// sent away at once: no call of theirs is left in doubt for the sake of a test.
+func (f *Front) loopProbe(ctx context.Context, since int64) {
+	for ctx.Err() == nil && f.since.Load() == since {
 		c, cancel := f.within(ctx, relayTimeout)
 		// The entry's own row is small. The configuration may have half a megabyte,
 		// which a thin link carries in half a second.
--- a/internal/front/write.go
+++ b/internal/front/write.go
@@ -65,7 +65,7 @@
 		r, ok := w.next(ctx, w.front.limit.For(w.front.Clock.Now(), tryTimeout))
 		if !ok && ctx.Err() == nil {
 			w.doubt = true
-			w.front.tried(w.began, context.DeadlineExceeded)
+			w.front.failed(context.DeadlineExceeded)
 		}
 		// An earlier try may be answered in the pause after a later one.
 		for ok {
