--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -26,17 +26,17 @@
 	// heard is when the last report came, and until is after the end of every
 	// lease that the worker may hold.
 	heard, until time.Duration
-	// known says that the worker reported to this owner, and word is the newest
-	// report.
+	// known says that the worker reported to this owner.
 	known bool
+	// word is that of the newest report, and timed when it came, or 0.
 	word  work.Word
+	timed time.Duration
 	// transit is the least time, but for a constant, that a report of the present
 	// process was under way.
 	transit time.Duration
 	// challenge is the number that another process of the agent has to repeat before
 	// its reports count.
 	challenge challenge
-	timed     time.Duration
 	// listedAt is as of when the newest list was.
 	listedAt time.Duration
 	// seen is the highest end that was taken in, and noted the highest that is
--- a/internal/traces/traces.go
+++ b/internal/traces/traces.go
@@ -240,9 +240,9 @@
 		parts = append(parts, fmt.Sprintf("task %s waited %s for a place", longest.field("task"), span(longest.took())))
 	}
 	for _, k := range slices.Sorted(maps.Keys(ends)) {
-		on := slices.Clone(ends[k])
-		slices.Sort(on)
-		parts = append(parts, fmt.Sprintf("%s: %s, on %s", count(len(ends[k]), "run"), k, strings.Join(slices.Compact(on), ", ")))
+		runs := count(len(ends[k]), "run")
+		slices.Sort(ends[k])
+		parts = append(parts, fmt.Sprintf("%s: %s, on %s", runs, k, strings.Join(slices.Compact(ends[k]), ", ")))
 	}
 	if len(parts) == 0 {
 		return "no wait, no run was lost"
