--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -88,6 +88,9 @@
 	}()
 }
 
+// maxCores is above the number of any core.
+const maxCores = 1024
+
 // startOn starts a command that sees only one core, or all if core is below 0.
 func startOn(core int, c *exec.Cmd) error {
 	if core < 0 {
@@ -99,7 +102,18 @@
 	if err := unix.SchedGetaffinity(0, &all); err != nil {
 		return err
 	}
-	one.Set(core % runtime.NumCPU())
+	// The case itself may be confined to some cores.
+	skip := core % all.Count()
+	for n := range maxCores {
+		if !all.IsSet(n) {
+			continue
+		}
+		if skip == 0 {
+			one.Set(n)
+			break
+		}
+		skip--
+	}
 	if err := unix.SchedSetaffinity(0, &one); err != nil {
 		return err
 	}
