sched, leader: the row that accepted an ended job is deleted before its progress

Cause: the owner deleted the progress of an ended job with its next commit, which is repeated until it succeeds, and the row that accepted the job with a call of its own that was tried once, directly. When that failed, the next owner, or the same one after a 410, read a job without progress and took it for a new one. Found besides: a cancel row of a job that had ended already was never deleted, and a rejected job's row was forgotten by the owner although its deletion had failed. Change: first the acceptance, repeated until it is known to be gone and relayed if need be, then the progress. The deletion checks the row's version; rows that were read before the deletion are ignored for a minute; progress without acceptance is deleted by the next owner. Ruled out: repeating the call alone, since the owner may end in between and a listing may be older than the deletion.

--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -106,8 +106,7 @@
 	}
 }
 
-// deleteRows deletes rows that are no longer needed. If that fails the rows stay:
-// they cost a little space, and the next owner deletes them.
+// deleteRows deletes the rows of a job in the job table, and passes the outcome to the core.
 func (l *Leader) deleteRows(t *term, f sched.DeleteRows) {
 	ctx, cancel := l.withTimeout(t.ctx)
 	defer cancel()
@@ -115,8 +114,23 @@
 	for _, k := range f.Keys {
 		writes = append(writes, plat.Write{Key: k})
 	}
-	if _, err := l.Rows.Commit(ctx, plat.Txn{Checks: f.Checks, Writes: writes}); err != nil && !errors.Is(err, plat.ErrConflict) {
+	s, err := l.RowsWithRelay.Commit(ctx, plat.Txn{Checks: f.Checks, Writes: writes})
+	var row plat.Row
+	if errors.Is(err, plat.ErrConflict) {
+		// An earlier try has taken effect, and the job may have been submitted again since.
+		row, s, err = l.Rows.Read(ctx, sched.JobKey(f.Job))
+	}
+	if err != nil {
 		l.storeFailed("forget", err)
+		l.step(t, sched.DeletionFailed{Job: f.Job})
+		return
+	}
+	if row.Version > 0 {
+		s.Version = row.Version - 1
+	}
+	l.step(t, sched.RowsDeleted{Job: f.Job, Version: s.Version})
+	if row.Version > 0 {
+		l.handleJobRow(t, row)
 	}
 }
 
@@ -310,5 +324,5 @@
 		l.step(t, sched.RejectedJob{ID: j.ID, Version: r.Version, At: j.At})
 		return
 	}
-	l.step(t, sched.Submit{Job: j})
+	l.step(t, sched.Submit{Job: j, Version: r.Version})
 }
--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -71,7 +71,7 @@
 // keep every process from owning the cell. A job whose state is not known is left out
 // too, since its tasks may have run.
 func loadState(ctx context.Context, rows plat.Rows, skip func(key string, err error)) (sched.StoredRows, plat.Stamp, error) {
-	found := sched.StoredRows{States: map[string]work.State{}}
+	found := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}}
 	states, _, err := rows.List(ctx, sched.StateTable)
 	if err != nil {
 		return found, plat.Stamp{}, err
@@ -95,7 +95,9 @@
 	if err != nil {
 		return found, stamp, err
 	}
+	known := map[string]bool{}
 	for _, r := range jobs {
+		known[r.Key] = true
 		if id, ok := sched.CancelledJob(r.Key); ok {
 			found.Cancels = append(found.Cancels, id)
 			continue
@@ -113,7 +115,14 @@
 			continue
 		}
 		found.Jobs = append(found.Jobs, j)
+		found.Versions[j.ID] = r.Version
 	}
+	for id := range found.States {
+		if !known[sched.JobKey(id)] {
+			found.Orphans = append(found.Orphans, id)
+		}
+	}
+	slices.Sort(found.Orphans)
 	return found, stamp, nil
 }
 
--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -61,6 +61,15 @@
 	eventTime time.Duration
 	// link is how slow the entries' links to the store are.
 	link link
+	// began is when the store's clock was zero.
+	began time.Time
+	// limits are those of the entries.
+	limits sched.Limits
+	// deletes is what the store does with a transaction that deletes rows, or nil. Its
+	// error is returned instead of the answer.
+	deletes func(commit func() error) error
+	// historyGone says that the store has no history for feeds.
+	historyGone bool
 }
 
 // link delays an entry's calls of the store.
@@ -139,8 +148,8 @@
 	started map[work.Run]bool
 }
 
-func newFleet(ctx context.Context, t *testing.T) *fleet {
-	f := &fleet{t: t, ctx: ctx, store: &rows.Store{}, config: &work.Config{
+func newFleet(ctx context.Context, t *testing.T, limits sched.Limits) *fleet {
+	f := &fleet{t: t, ctx: ctx, limits: limits, began: time.Now(), store: &rows.Store{}, config: &work.Config{
 		Version: 1, Queues: []work.Queue{{Name: "q", Service: "s", Attempts: 3, Stretch: 2, Target: 500}},
 	}}
 	f.startProcesses()
@@ -181,7 +190,7 @@
 	n := &node{lastContact: map[*node]time.Time{}}
 	n.ctx, n.stop = context.WithCancel(f.ctx)
 	n.Leader = &leader.Leader{
-		Name: fmt.Sprintf("entry-%d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Rows: f.rows(n), Clock: clock.Steady(), Tally: &tally.Set{},
+		Name: fmt.Sprintf("entry-%d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Rows: f.rows(n), Clock: clock.Steady(), Tally: &tally.Set{}, Limits: f.limits,
 		Config:        func() *work.Config { return f.config },
 		Rank:          func() int { return f.rank(n) },
 		Send:          func(a string, o work.Order) (work.Results, error) { return f.sendOrder(n, a, o) },
@@ -219,19 +228,24 @@
 			if !f.answersList(ctx) {
 				return nil, plat.Stamp{}, plat.ErrUnavailable
 			}
-			return s.List(ctx, table)
+			found, stamp, err := s.List(ctx, table)
+			stamp.Now = time.Since(f.began)
+			return found, stamp, err
 		},
 		Feed: func(ctx context.Context, table string, after uint64, d time.Duration) ([]plat.Row, plat.Stamp, error) {
 			if err := wait(ctx); err != nil {
 				return nil, plat.Stamp{}, err
 			}
+			if f.isHistoryGone() {
+				return nil, plat.Stamp{}, plat.ErrHistoryGone
+			}
 			return s.Feed(ctx, table, after, d)
 		},
 		Commit: func(ctx context.Context, txn plat.Txn) (plat.Stamp, error) {
 			if err := wait(ctx); err != nil {
 				return plat.Stamp{}, err
 			}
-			stamp, err := s.Commit(ctx, txn)
+			stamp, err := f.commit(ctx, s, txn)
 			clock.Sleep(ctx, f.nextAnswerTime())
 			if ctx.Err() != nil {
 				return plat.Stamp{}, plat.ErrUnavailable
@@ -241,6 +255,44 @@
 	}
 }
 
+// commit applies a transaction, with the fault of deletes.
+func (f *fleet) commit(ctx context.Context, s plat.Rows, txn plat.Txn) (plat.Stamp, error) {
+	f.mu.Lock()
+	fault := f.deletes
+	f.mu.Unlock()
+	deletes := slices.ContainsFunc(txn.Writes, func(w plat.Write) bool {
+		table, _, _ := plat.SplitKey(w.Key)
+		return table == sched.JobTable && w.Value == nil
+	})
+	if fault == nil || !deletes {
+		return s.Commit(ctx, txn)
+	}
+	var stamp plat.Stamp
+	err := fault(func() (err error) {
+		stamp, err = s.Commit(ctx, txn)
+		return err
+	})
+	return stamp, err
+}
+
+func (f *fleet) setDeletes(fault func(commit func() error) error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deletes = fault
+}
+
+func (f *fleet) isHistoryGone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.historyGone
+}
+
+func (f *fleet) setHistoryGone(gone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.historyGone = gone
+}
+
 // answersList waits for the time of a list and reports whether it gets an answer.
 func (f *fleet) answersList(ctx context.Context) bool {
 	f.mu.Lock()
@@ -521,9 +573,14 @@
 
 // runFleetTest runs a test of a fleet in virtual time.
 func runFleetTest(t *testing.T, test func(g *WithT, f *fleet)) {
+	runLimitedFleetTest(t, sched.Limits{}, test)
+}
+
+// runLimitedFleetTest runs a test of a fleet whose entries have the given limits.
+func runLimitedFleetTest(t *testing.T, limits sched.Limits, test func(g *WithT, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := newFleet(ctx, t)
+		f := newFleet(ctx, t, limits)
 		test(NewWithT(t), f)
 		cancel()
 		f.loops.Wait()
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"lagoonrack/internal/intake"
-	"lagoonrack/internal/plat"
 	"lagoonrack/internal/work"
 )
 
@@ -97,20 +96,7 @@
 
 // recordRejected remembers the row of a rejected job, to delete it later.
 func (c *Core) recordRejected(r RejectedJob) {
-	if c.jobs[r.ID] == nil {
+	if c.jobs[r.ID] == nil && !c.isDeleted(r.ID, r.Version) {
 		c.rejected[r.ID] = r
 	}
 }
-
-// purgeRejected deletes the rows of rejected jobs whose retention time has passed.
-// A row that was written again in the meantime stays because its version differs.
-func (c *Core) purgeRejected() {
-	for _, id := range sortedKeys(c.rejected) {
-		r := c.rejected[id]
-		if c.storeMillis()-r.At < c.limits.EndedJobRetention.Milliseconds() {
-			continue
-		}
-		delete(c.rejected, id)
-		c.emit(DeleteRows{Keys: []string{JobKey(id)}, Checks: []plat.Check{{Key: JobKey(id), Version: r.Version}}})
-	}
-}
--- a/internal/sched/admit_test.go
+++ b/internal/sched/admit_test.go
@@ -74,7 +74,8 @@
 var _ = Describe("the row of a rejected job", func() {
 	It("is deleted after the retention time, if its version is unchanged", func() {
 		s := newTestCell(testQueues, 16)
-		s.step(sched.RejectedJob{ID: "00a1", Version: 7, At: s.now.Milliseconds()})
+		s.version = 7
+		s.step(sched.RejectedJob{ID: "00a1", Version: s.version, At: s.now.Milliseconds()})
 		s.advance(100 * time.Second)
 		Expect(s.deletions).To(BeEmpty())
 		s.advance(60 * time.Second)
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -33,6 +33,8 @@
 	timeout = 2 * time.Second
 	// maxAttempts is the number of failed runs at which a job fails.
 	maxAttempts = 3
+	// retention is how long ended jobs are kept: it ends within a sequence.
+	retention = 1500 * time.Millisecond
 )
 
 // node is a worker with its agent.
@@ -116,7 +118,10 @@
 	// not only after each tick.
 	checkEachEvent bool
 	// rows are the rows of the store, and currentTerm is the term of the cell's owner.
+	// versions holds the versions of the rows, and version is the newest one.
 	rows        map[string][]byte
+	versions    map[string]uint64
+	version     uint64
 	currentTerm uint64
 	// owners lists the owners by term. Deposed ones may go on for a while.
 	owners  []*owner
@@ -126,6 +131,9 @@
 	jobs        map[string]work.Job
 	tasks       map[string]*history
 	cancelledAt map[string]time.Duration
+	// finished holds the jobs that an owner has reported as completed or failed. Their
+	// rows may be deleted.
+	finished map[string]bool
 	// calm says that no more faults are injected.
 	calm bool
 	// speculative says that some steps allow speculative copies of their tasks, that
@@ -147,7 +155,7 @@
 
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), rows: map[string][]byte{}, jobs: map[string]work.Job{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), rows: map[string][]byte{}, versions: map[string]uint64{}, finished: map[string]bool{}, jobs: map[string]work.Job{},
 		tasks: map[string]*history{}, cancelledAt: map[string]time.Duration{}, pendingReplies: map[uint64]func(work.Reply){},
 		checkEachEvent: seed < sequences,
 	}
@@ -219,7 +227,7 @@
 // startOwner starts a new owner from the stored rows.
 func (w *world) startOwner() {
 	w.currentTerm++
-	stored := sched.StoredRows{States: map[string]work.State{}}
+	stored := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}}
 	for _, k := range slices.Sorted(maps.Keys(w.rows)) {
 		v := w.rows[k]
 		if k == sched.LearnedKey {
@@ -238,9 +246,16 @@
 				w.t.Fatal(err)
 			}
 			stored.Jobs = append(stored.Jobs, j)
+			stored.Versions[j.ID] = w.versions[k]
 		}
 	}
-	l := sched.Limits{Lease: lease, OwnerTimeout: timeout}
+	for id := range stored.States {
+		if w.rows[sched.JobKey(id)] == nil {
+			stored.Orphans = append(stored.Orphans, id)
+		}
+	}
+	slices.Sort(stored.Orphans)
+	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, EndedJobRetention: retention}
 	o := &owner{core: sched.New(l, w.currentTerm, w.now, 0, stored, w.config()), term: w.currentTerm, lastStates: map[string]string{}}
 	w.owners = append(w.owners, o)
 	w.logf("owner %d", o.term)
@@ -266,6 +281,8 @@
 				delete(w.pendingReplies, f.Token)
 				g(f.Reply)
 			}
+		case sched.DeleteRows:
+			w.deleteRows(o, f)
 		case sched.Decision:
 			w.logf("owner %d %+v", o.term, f)
 		}
@@ -286,14 +303,78 @@
 			o.dead = o.dead || w.rng.IntN(2) == 0
 			return
 		}
-		for _, x := range c.Writes {
-			if x.Value == nil {
-				delete(w.rows, x.Key)
-			} else {
-				w.rows[x.Key] = x.Value
+		w.write(c.Writes)
+		w.after(w.messageDelay(), func() { w.step(o, sched.Committed{Seq: c.Seq}) })
+	})
+}
+
+// write applies the writes of a transaction.
+func (w *world) write(writes []plat.Write) {
+	w.version++
+	for _, x := range writes {
+		if x.Value == nil {
+			delete(w.rows, x.Key)
+			delete(w.versions, x.Key)
+			continue
+		}
+		w.rows[x.Key], w.versions[x.Key] = x.Value, w.version
+	}
+}
+
+// deleteRows carries a deletion out, which has no fence. Now and then it fails, takes
+// effect without an answer, or takes effect late.
+func (w *world) deleteRows(o *owner, f sched.DeleteRows) {
+	if w.chance(0.2) {
+		w.after(w.messageDelay(), func() { w.step(o, sched.DeletionFailed{Job: f.Job}) })
+		return
+	}
+	late := time.Duration(0)
+	if w.chance(0.1) {
+		late = time.Duration(w.rng.IntN(3000)) * time.Millisecond
+		w.after(w.messageDelay(), func() { w.step(o, sched.DeletionFailed{Job: f.Job}) })
+	}
+	lost := late > 0 || w.chance(0.1)
+	w.after(w.messageDelay()+late, func() {
+		version := w.versions[sched.JobKey(f.Job)]
+		conflict := slices.ContainsFunc(f.Checks, func(x plat.Check) bool { return w.versions[x.Key] != x.Version })
+		if !conflict {
+			var writes []plat.Write
+			for _, k := range f.Keys {
+				writes = append(writes, plat.Write{Key: k})
 			}
+			w.write(writes)
+			version = w.version
+		} else if version == 0 {
+			version = w.version
+		}
+		switch {
+		case late > 0:
+		case lost:
+			w.after(w.messageDelay(), func() { w.step(o, sched.DeletionFailed{Job: f.Job}) })
+		default:
+			w.after(w.messageDelay(), func() { w.step(o, sched.RowsDeleted{Job: f.Job, Version: version}) })
+		}
+	})
+}
+
+// readJobs passes all rows of the job table to the owner, as after the loss of the store's
+// history. The read may take a while.
+func (w *world) readJobs() {
+	o := w.currentOwner()
+	var events []sched.Event
+	for _, k := range slices.Sorted(maps.Keys(w.rows)) {
+		if table, _, id := plat.SplitKey(k); table != sched.JobTable {
+			continue
+		} else if cancelled, ok := sched.CancelledJob(k); ok {
+			events = append(events, sched.Cancel{ID: cancelled})
+		} else {
+			events = append(events, sched.Submit{Job: w.jobs[id], Version: w.versions[k]})
+		}
+	}
+	w.after(w.messageDelay(), func() {
+		for _, e := range events {
+			w.step(o, e)
 		}
-		w.after(w.messageDelay(), func() { w.step(o, sched.Committed{Seq: c.Seq}) })
 	})
 }
 
@@ -557,6 +638,7 @@
 			continue
 		}
 		o.lastStates[id] = s
+		w.finished[id] = w.finished[id] || s == "completed" || s == "failed"
 		switch s {
 		case "completed":
 			for x, st := range j.Steps {
@@ -686,7 +768,9 @@
 // injectFault injects one random fault or other disturbance, such as cancelled jobs.
 func (w *world) injectFault() {
 	r := w.workers[w.rng.IntN(len(w.workers))]
-	switch w.rng.IntN(8) {
+	switch w.rng.IntN(9) {
+	case 8:
+		w.readJobs()
 	case 0:
 		w.killWorker(r)
 		w.after(time.Duration(w.rng.IntN(4000))*time.Millisecond, func() {
@@ -723,7 +807,11 @@
 		return
 	}
 	w.cancelledAt[id] = w.now
-	w.rows[sched.CancelKey(id)] = []byte{1}
+	if w.rows[sched.JobKey(id)] == nil {
+		// The job has ended and is not known any more.
+		return
+	}
+	w.write([]plat.Write{{Key: sched.CancelKey(id), Value: []byte{1}}})
 	w.after(w.messageDelay(), func() { w.step(w.currentOwner(), sched.Cancel{ID: id}) })
 }
 
@@ -748,7 +836,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.rows[sched.JobKey(j.ID)] = data
+	w.write([]plat.Write{{Key: sched.JobKey(j.ID), Value: data}})
 	w.after(w.messageDelay(), func() { w.step(w.currentOwner(), sched.Submit{Job: j}) })
 }
 
@@ -821,12 +909,7 @@
 	}
 	// The notifications may have been lost. The owner then reads the jobs and
 	// cancellations from the store.
-	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
-		w.step(w.currentOwner(), sched.Submit{Job: w.jobs[id]})
-		if _, ok := w.cancelledAt[id]; ok {
-			w.step(w.currentOwner(), sched.Cancel{ID: id})
-		}
-	}
+	w.readJobs()
 	duration := calmDuration
 	if speculative {
 		// Stragglers take six times as long as other runs.
@@ -859,7 +942,7 @@
 		if _, ok := w.cancelledAt[id]; ok || longRunning {
 			continue
 		}
-		if state != "completed" && state != "failed" {
+		if state != "completed" && state != "failed" && (state != "" || !w.finished[id]) {
 			return id
 		}
 	}
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -56,7 +56,7 @@
 // Changes that do not fit are committed in several transactions; each callback runs after
 // the one that stores the last of the changes that it waits for.
 func (c *Core) commitDirty() {
-	if c.commitInflight || len(c.dirtyJobs) == 0 && len(c.obsoleteRows) == 0 {
+	if c.commitInflight || len(c.dirtyJobs) == 0 && c.obsoleteRows.len() == 0 {
 		return
 	}
 	var w []plat.Write
@@ -70,19 +70,23 @@
 		j := c.dirtyJobs[n]
 		n++
 		j.dirty = false
+		if c.jobs[j.ID] != j {
+			// The rows of the job were deleted in the meantime.
+			continue
+		}
 		data, err := c.encodeState(j.state())
 		if err != nil {
 			c.emit(Decision{Kind: "unsaved", Job: j.ID, Reason: err.Error()})
 			continue
 		}
 		size += len(data)
+		c.obsoleteRows.remove(StateKey(j.ID))
 		w = append(w, plat.Write{Key: StateKey(j.ID), Value: data})
 	}
 	c.dirtyJobs = append(c.dirtyJobs[:0], c.dirtyJobs[n:]...)
 	c.dirtyTaken += uint64(n)
-	for len(c.obsoleteRows) > 0 && len(w) < rowsPerCommit {
-		w = append(w, plat.Write{Key: c.obsoleteRows[0]})
-		c.obsoleteRows = c.obsoleteRows[1:]
+	for _, k := range c.obsoleteRows.take(max(0, rowsPerCommit-len(w))) {
+		w = append(w, plat.Write{Key: k})
 	}
 	if c.now-c.lastLearnedSave >= learnedSaveInterval {
 		c.lastLearnedSave = c.now
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -65,8 +65,9 @@
 
 	// dirtyJobs lists the jobs whose state has to be stored.
 	dirtyJobs []*job
-	// obsoleteRows lists the keys of state rows to delete.
-	obsoleteRows []string
+	// obsoleteRows holds the keys of state rows to delete.
+	obsoleteRows keyQueue
+	purger
 	// dirtyAdded counts the jobs that were ever added to dirtyJobs, and dirtyTaken those
 	// that were taken into a transaction.
 	dirtyAdded, dirtyTaken uint64
@@ -112,7 +113,6 @@
 	// termStart is when the term began.
 	termStart time.Duration
 	advice    adviceCache
-	lastPurge time.Duration
 	// bestEffortBacklog says that more best-effort tasks wait than can be placed
 	// soon.
 	bestEffortBacklog bool
@@ -125,9 +125,14 @@
 
 // StoredRows is what a new owner reads from the store.
 type StoredRows struct {
-	Jobs    []work.Job
-	States  map[string]work.State
-	Cancels []string
+	Jobs   []work.Job
+	States map[string]work.State
+	// Versions holds the versions of the rows of Jobs.
+	Versions map[string]uint64
+	Cancels  []string
+	// Orphans lists the jobs with a row of progress and no row in the job table: the rows
+	// of an ended job of which an earlier owner could delete only one.
+	Orphans []string
 	// Rejected lists the rejected jobs.
 	Rejected []RejectedJob
 	// Barred lists the jobs whose progress can't be read. They must not run, since their
@@ -153,6 +158,7 @@
 		admission:      map[string]*intake.Controller{},
 		rejected:       map[string]RejectedJob{},
 		barred:         map[string]bool{},
+		purger:         purger{deleting: map[string]bool{}, deleted: map[string]deletedJob{}},
 		admitted:       map[string]admittedJob{},
 		termStart:      now,
 		changes:        changeSet{all: true, rebuild: true},
@@ -161,7 +167,10 @@
 	c.restoreLearned(stored.Learned)
 	byAcceptance := func(a, b work.Job) int { return cmp.Compare(a.At, b.At) }
 	for _, j := range slices.SortedStableFunc(slices.Values(stored.Jobs), byAcceptance) {
-		c.loadJob(j, stored.States[j.ID])
+		c.loadJob(j, stored.States[j.ID], stored.Versions[j.ID])
+	}
+	for _, id := range stored.Orphans {
+		c.obsoleteRows.add(StateKey(id))
 	}
 	for _, id := range stored.Cancels {
 		c.cancel(id)
@@ -193,7 +202,11 @@
 func (c *Core) handle(e Event) {
 	switch e := e.(type) {
 	case Submit:
-		c.submit(e.Job)
+		c.submit(e)
+	case RowsDeleted:
+		c.handleRowsDeleted(e)
+	case DeletionFailed:
+		c.handleDeletionFailed(e.Job)
 	case RejectedJob:
 		c.recordRejected(e)
 	case Cancel:
@@ -265,33 +278,6 @@
 	return strings.CutSuffix(name, cancelSuffix)
 }
 
-// purgeInterval is the time between two searches for ended jobs that can be
-// deleted.
-const purgeInterval = 5 * time.Second
-
-// purgeEnded deletes ended jobs whose retention time has passed.
-func (c *Core) purgeEnded() {
-	if c.now-c.lastPurge < purgeInterval {
-		return
-	}
-	c.lastPurge = c.now
-	c.purgeRejected()
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
-		if j.endedAt == 0 || c.storeMillis()-j.endedAt < c.limits.EndedJobRetention.Milliseconds() || j.placements.len() > 0 {
-			continue
-		}
-		delete(c.jobs, id)
-		c.advice.dropJob(id)
-		c.obsoleteRows = append(c.obsoleteRows, StateKey(id))
-		keys := []string{JobKey(id)}
-		if j.cancelled {
-			keys = append(keys, CancelKey(id))
-		}
-		c.emit(DeleteRows{Keys: keys})
-	}
-}
-
 // UnresponsiveAgents lists the agents whose last report is older than the timeout.
 func (c *Core) UnresponsiveAgents(timeout time.Duration) []string {
 	var out []string
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -11,7 +11,11 @@
 type Event interface{ event() }
 
 // Submit reports a job whose row is stored.
-type Submit struct{ Job work.Job }
+type Submit struct {
+	Job work.Job
+	// Version is the version of the row, or 0 if it is not known.
+	Version uint64
+}
 
 // RejectedJob reports a job whose row says that it was rejected.
 type RejectedJob struct {
@@ -25,6 +29,17 @@
 // Cancel reports that the cancellation of a job is stored.
 type Cancel struct{ ID string }
 
+// RowsDeleted reports that the rows of a job in DeleteRows do not exist any more. A row
+// of the job with a higher version was written afterwards.
+type RowsDeleted struct {
+	Job     string
+	Version uint64
+}
+
+// DeletionFailed reports that it is not known whether the rows of a job in DeleteRows are
+// deleted.
+type DeletionFailed struct{ Job string }
+
 // Report is an agent's report. It is answered by a Reply with the same token.
 type Report struct {
 	Token uint64
@@ -53,15 +68,17 @@
 // Tick reports that time has passed.
 type Tick struct{}
 
-func (Submit) event()      {}
-func (RejectedJob) event() {}
-func (Cancel) event()      {}
-func (Report) event()      {}
-func (Results) event()     {}
-func (Configure) event()   {}
-func (Committed) event()   {}
-func (Advice) event()      {}
-func (Tick) event()        {}
+func (Submit) event()         {}
+func (RejectedJob) event()    {}
+func (Cancel) event()         {}
+func (RowsDeleted) event()    {}
+func (DeletionFailed) event() {}
+func (Report) event()         {}
+func (Results) event()        {}
+func (Configure) event()      {}
+func (Committed) event()      {}
+func (Advice) event()         {}
+func (Tick) event()           {}
 
 // Effect is an action that the caller of Step has to carry out.
 type Effect interface{ effect() }
@@ -72,8 +89,10 @@
 	Writes []plat.Write
 }
 
-// DeleteRows deletes obsolete rows of one partition if the checks hold.
+// DeleteRows deletes the rows of the job table that belong to a job, if the checks hold. It
+// is answered by RowsDeleted or DeletionFailed.
 type DeleteRows struct {
+	Job    string
 	Keys   []string
 	Checks []plat.Check
 }
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -25,8 +25,14 @@
 	startConfirmed    bool
 	failed, cancelled bool
 	complete          bool
-	// endedAt is when the job ended, in milliseconds of the store's clock, or 0.
-	endedAt int64
+	// endedAt is when the job ended, in milliseconds of the store's clock, or 0. endStored
+	// says that this is stored.
+	endedAt   int64
+	endStored bool
+	// rowVersion is the version of the row that accepted the job, or 0 if that is not
+	// known, and cancelStored says that there is a row that cancels it.
+	rowVersion   uint64
+	cancelStored bool
 	// visibleState is the state reported to clients. Except for a cancellation it
 	// is always stored already.
 	visibleState string
@@ -130,12 +136,22 @@
 }
 
 // submit adds a job whose row is stored.
-func (c *Core) submit(spec work.Job) {
-	if c.jobs[spec.ID] != nil || c.barred[spec.ID] {
+func (c *Core) submit(e Submit) {
+	id := e.Job.ID
+	if j := c.jobs[id]; j != nil {
+		j.rowVersion = max(j.rowVersion, e.Version)
+		return
+	}
+	if c.barred[id] || c.isDeleted(id, e.Version) {
 		return
 	}
-	delete(c.rejected, spec.ID)
-	j := c.addJob(spec)
+	delete(c.rejected, id)
+	j := c.addJob(e.Job)
+	j.rowVersion = e.Version
+	if _, again := c.deleted[id]; again {
+		// The record of the earlier job's progress may still be stored.
+		c.markDirty(j)
+	}
 	c.emit(Decision{Kind: "job", Job: j.ID, Reason: j.Queue})
 	c.changes.addJob(j)
 	if j.Times > 0 {
@@ -151,19 +167,21 @@
 func (c *Core) cancel(id string) {
 	j := c.jobs[id]
 	if j == nil {
-		c.pendingCancels[id] = true
+		if _, deleted := c.deleted[id]; !deleted {
+			c.pendingCancels[id] = true
+		}
 		return
 	}
+	j.cancelStored = true
 	if j.finished() {
 		return
 	}
 	j.cancelled = true
-	j.endedAt = c.storeMillis()
+	c.setEnded(j)
 	j.visibleState = j.currentState()
 	c.updatePending(j)
 	c.emit(Decision{Kind: "cancel", Job: id})
 	c.stopAll(j, "cancelled")
-	c.markDirty(j)
 }
 
 // stopAll stops all runs of a job.
@@ -197,7 +215,7 @@
 	}
 	if j.allDone() && !j.complete && !j.cancelled {
 		j.complete = true
-		j.endedAt = c.storeMillis()
+		c.setEnded(j)
 		c.emit(Decision{Kind: "complete", Job: j.ID, Reason: j.Queue, Took: c.now - j.acceptedAt})
 	}
 	c.updatePending(j)
@@ -220,13 +238,19 @@
 		return
 	}
 	j.failed = true
-	j.endedAt = c.storeMillis()
+	c.setEnded(j)
 	c.emit(Decision{Kind: "fail", Job: j.ID, Reason: j.Queue, Took: c.now - j.acceptedAt})
-	c.markDirty(j)
 	c.stopAll(j, "failed")
 	c.updateJob(j)
 }
 
+// setEnded records that a job has ended now.
+func (c *Core) setEnded(j *job) {
+	j.endedAt = c.storeMillis()
+	c.markDirty(j)
+	c.afterStored(func() { j.endStored = true })
+}
+
 // State returns the state of a job that clients may see, or "" for an unknown job.
 func (c *Core) State(id string) string {
 	if j := c.jobs[id]; j != nil {
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -31,8 +31,9 @@
 }
 
 // loadJob restores a job from its rows.
-func (c *Core) loadJob(spec work.Job, st work.State) {
+func (c *Core) loadJob(spec work.Job, st work.State, version uint64) {
 	j := c.addJob(spec)
+	j.rowVersion = version
 	j.past, j.failed, j.endedAt = st.Past, st.Failed, st.Ended
 	for _, ts := range st.Tasks {
 		t := j.task(work.TaskID{Job: j.ID, K: ts.K, Step: ts.Step, Index: ts.Index}, c.now)
@@ -44,6 +45,7 @@
 	j.complete = st.Complete
 	c.updateJob(j)
 	j.visibleState = j.currentState()
+	j.endStored = st.Ended > 0
 }
 
 // restoreTask restores a task and its placements from its stored form.
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -26,12 +26,14 @@
 // are ordered to and run them until an order or the test ends them; messages and
 // commits take no time.
 type testCell struct {
-	core           *sched.Core
-	now            time.Duration
-	config         *work.Config
-	workers        []*testWorker
-	decisions      []sched.Decision
+	core      *sched.Core
+	now       time.Duration
+	config    *work.Config
+	workers   []*testWorker
+	decisions []sched.Decision
+	// deletions lists the deletions of rows. They fail if deletionsFail is set.
 	deletions      []sched.DeleteRows
+	deletionsFail  bool
 	adviceRequests []sched.AskAdvisor
 	// challenge is the Challenge of the newest reply to a report, or 0.
 	challenge uint64
@@ -44,6 +46,8 @@
 	// resultsLost says that the owner gets no results of its orders, and startsRepeated
 	// that each worker gets each start twice and only its second answer arrives.
 	resultsLost, startsRepeated bool
+	// version is that of the newest row.
+	version uint64
 	// learnedRow is the last value stored under sched.LearnedKey.
 	learnedRow []byte
 }
@@ -142,8 +146,10 @@
 				if w.Key == sched.LearnedKey {
 					s.learnedRow = w.Value
 				}
-				if table, _, id := plat.SplitKey(w.Key); table == sched.StateTable && w.Value != nil {
-					s.stateRows[id] = w.Value
+				if table, _, id := plat.SplitKey(w.Key); table == sched.StateTable {
+					if s.stateRows[id] = w.Value; w.Value == nil {
+						delete(s.stateRows, id)
+					}
 				}
 			}
 			s.step(sched.Committed{Seq: f.Seq})
@@ -151,6 +157,11 @@
 			s.applyOrder(f)
 		case sched.DeleteRows:
 			s.deletions = append(s.deletions, f)
+			if s.deletionsFail {
+				s.step(sched.DeletionFailed{Job: f.Job})
+				continue
+			}
+			s.step(sched.RowsDeleted{Job: f.Job, Version: s.version})
 		case sched.Reply:
 			s.challenge = f.Challenge
 		case sched.AskAdvisor:
@@ -215,7 +226,8 @@
 
 // submit submits a job of one step.
 func (s *testCell) submit(id string, queue string, step work.Step) {
-	s.step(sched.Submit{Job: work.Job{ID: id, Queue: queue, Service: "s", Spec: "x", Steps: []work.Step{step}, At: s.now.Milliseconds()}})
+	s.version++
+	s.step(sched.Submit{Version: s.version, Job: work.Job{ID: id, Queue: queue, Service: "s", Spec: "x", Steps: []work.Step{step}, At: s.now.Milliseconds()}})
 }
 
 // tasksPerWorker counts the running tasks of a job on each worker.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -283,7 +283,7 @@
 	c.startSpeculativeCopies()
 	c.preempt()
 	c.consolidate()
-	c.purgeEnded()
+	c.purge()
 	c.changes.all = true
 }
 
