sched, press, book: what was learned is stored in pages of bounded size

Cause: the factors of all pairs of images stood in one row, in the same transaction as the progress of jobs. Above the store's limit for a value it refuses the transaction as a whole, each time. Change: package book spreads the records over pages of 8 KB. A transaction takes at most three pages that have changed, in turn. Pairs, base tails and queues that were used longest ago are forgotten above 8,192, 4,096 and 4,096. The single row of earlier versions is read. Ruled out: a bound on the pairs that fits one row, since a fleet may have more in use.

--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -44,8 +44,8 @@
 }
 
 const (
-	ownershipKey  = "cell/title"
-	commitMarkKey = "cell/mark"
+	ownershipKey  = sched.CellTable + "/title"
+	commitMarkKey = sched.CellTable + "/mark"
 )
 
 // readRow reads and decodes a row. The value is zero if there is no such row.
@@ -71,7 +71,7 @@
 // keep every process from owning the cell. A job whose state is not known is left out
 // too, since its tasks may have run.
 func loadState(ctx context.Context, rows plat.Rows, skip func(key string, err error)) (sched.StoredRows, plat.Stamp, error) {
-	found := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}}
+	found := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}, Learned: map[string][]byte{}}
 	states, _, err := rows.List(ctx, sched.StateTable)
 	if err != nil {
 		return found, plat.Stamp{}, err
@@ -86,11 +86,15 @@
 		}
 		found.States[id] = st
 	}
-	learned, _, err := rows.Read(ctx, sched.LearnedKey)
+	cell, _, err := rows.List(ctx, sched.CellTable)
 	if err != nil {
 		return found, plat.Stamp{}, err
 	}
-	found.Learned = learned.Value
+	for _, r := range cell {
+		if sched.IsLearned(r.Key) {
+			found.Learned[r.Key] = r.Value
+		}
+	}
 	jobs, stamp, err := rows.List(ctx, sched.JobTable)
 	if err != nil {
 		return found, stamp, err
--- a/internal/leader/rows_test.go
+++ b/internal/leader/rows_test.go
@@ -88,7 +88,7 @@
 	f.Add(job, state, []byte{})
 	f.Fuzz(func(t *testing.T, job, state, learned []byte) {
 		store := &rows.Store{}
-		writes := []plat.Write{{Key: sched.JobKey("00000000000000a1"), Value: job}, {Key: sched.StateKey("00000000000000a1"), Value: state}, {Key: sched.LearnedKey, Value: learned}}
+		writes := []plat.Write{{Key: sched.JobKey("00000000000000a1"), Value: job}, {Key: sched.StateKey("00000000000000a1"), Value: state}, {Key: sched.LearnedKey, Value: learned}, {Key: sched.LearnedKey + "/0", Value: learned}}
 		if _, err := store.Rows().Commit(context.Background(), plat.Txn{Writes: writes}); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/press/press.go
+++ b/internal/press/press.go
@@ -22,11 +22,16 @@
 // Table holds the estimated factors, loads and base tails. The zero value is
 // ready for use.
 type Table struct {
-	// pairs holds the factors, loads the load of each latency-critical task, and
-	// bases the base tail of each latency-critical image in milliseconds.
-	pairs map[pair]*estimate
-	loads map[string]*load
-	bases map[string]float64
+	// pairs holds the factors by best-effort and then by latency-critical image, and
+	// pairCount is their number. loads holds the load of each latency-critical task, and
+	// bases the base tail of each latency-critical image.
+	pairs     map[string]map[string]*factor
+	pairCount int
+	loads     map[string]*load
+	bases     map[string]base
+	// changedPairs and changedBases hold what has changed since the last call of Changed.
+	changedPairs map[Pair]bool
+	changedBases map[string]bool
 	// imageFactors caches imageFactor by best-effort image.
 	imageFactors map[string]imageEstimate
 }
@@ -34,8 +39,21 @@
 // imageEstimate is the mean factor of a best-effort image with its standard deviation.
 type imageEstimate struct{ mean, stdDev float64 }
 
-// pair names a best-effort image and a latency-critical image.
-type pair struct{ bestEffort, critical string }
+// Pair names a best-effort image and a latency-critical image.
+type Pair struct{ BestEffort, Critical string }
+
+// factor is the estimated factor of a pair. used is the time of the newest measurement.
+type factor struct {
+	estimate
+	used time.Duration
+}
+
+// base is the base tail of an image in milliseconds. used is the time of the newest
+// measurement.
+type base struct {
+	tail float64
+	used time.Duration
+}
 
 // estimate is an estimated quantity with its variance.
 type estimate struct{ mean, variance float64 }
@@ -79,6 +97,9 @@
 	// base tail; priorBaseShare is the share of the target that is used until a
 	// measurement gives a lower one.
 	lowestTailShare, priorBaseShare = 0.92, 0.2
+	// maxPairs and maxBases bound the memory of images that are not in use any more.
+	// Those that were measured longest ago are forgotten first.
+	maxPairs, maxBases = 8192, 4096
 )
 
 // BestEffortTask is the image of a best-effort task and the share of the
@@ -103,8 +124,8 @@
 // Base returns the base tail of an image in milliseconds: the tail latency of an
 // idle task.
 func (t *Table) Base(image string, target int64) float64 {
-	if b := t.bases[image]; b > 0 {
-		return b
+	if b := t.bases[image]; b.tail > 0 {
+		return b.tail
 	}
 	return priorBaseShare * float64(target)
 }
@@ -129,7 +150,7 @@
 	if r.Tail <= 0 || r.Target <= 0 {
 		return
 	}
-	t.lowerBase(r)
+	t.lowerBase(now, r)
 	l := t.load(r.Task, now)
 	stdDev := loadDrift * (now - l.updated).Seconds()
 	l.variance = min(loadStdDev*loadStdDev, l.variance+stdDev*stdDev+1e-6)
@@ -137,7 +158,8 @@
 	l.updated = now
 	u := Stress(t.Base(r.Image, r.Target), r.Tail)
 	l.stress = u
-	t.update(l, r, u)
+	t.update(now, l, r, u)
+	t.bound()
 	l.follow(l.mean-before, since)
 }
 
@@ -152,14 +174,29 @@
 }
 
 // lowerBase lowers the base tail of an image if the measured tail is low enough.
-func (t *Table) lowerBase(r Measurement) {
+func (t *Table) lowerBase(now time.Duration, r Measurement) {
+	low := lowestTailShare * float64(r.Tail)
+	b, ok := t.bases[r.Image]
+	if !ok && low >= priorBaseShare*float64(r.Target) {
+		return
+	}
+	if !ok || low < b.tail {
+		b.tail = low
+		mark(&t.changedBases, r.Image)
+	}
+	b.used = now
 	if t.bases == nil {
-		t.bases = map[string]float64{}
+		t.bases = map[string]base{}
 	}
-	low := lowestTailShare * float64(r.Tail)
-	if b, ok := t.bases[r.Image]; !ok && low < priorBaseShare*float64(r.Target) || ok && low < b {
-		t.bases[r.Image] = low
+	t.bases[r.Image] = b
+}
+
+// mark adds a key to a set.
+func mark[K comparable](set *map[K]bool, key K) {
+	if *set == nil {
+		*set = map[K]bool{}
 	}
+	(*set)[key] = true
 }
 
 // load returns the load of a latency-critical task; a new one starts from the
@@ -181,21 +218,33 @@
 
 // pair returns the factor of a pair. A new one starts from the factors of the
 // best-effort image beside other latency-critical images.
-func (t *Table) pair(bestEffort, critical string) *estimate {
-	if t.pairs == nil {
-		t.pairs = map[pair]*estimate{}
-	}
-	k := pair{bestEffort, critical}
-	g := t.pairs[k]
+func (t *Table) pair(bestEffort, critical string) *factor {
+	g := t.pairs[bestEffort][critical]
 	if g == nil {
 		m, s := t.imageFactor(bestEffort)
-		g = &estimate{m, s * s}
-		t.pairs[k] = g
-		delete(t.imageFactors, bestEffort)
+		g = &factor{estimate: estimate{m, s * s}}
+		t.setPair(Pair{bestEffort, critical}, g)
 	}
 	return g
 }
 
+// setPair sets the factor of a pair.
+func (t *Table) setPair(p Pair, g *factor) {
+	if t.pairs == nil {
+		t.pairs = map[string]map[string]*factor{}
+	}
+	beside := t.pairs[p.BestEffort]
+	if beside == nil {
+		beside = map[string]*factor{}
+		t.pairs[p.BestEffort] = beside
+	}
+	if beside[p.Critical] == nil {
+		t.pairCount++
+	}
+	beside[p.Critical] = g
+	delete(t.imageFactors, p.BestEffort)
+}
+
 // imageFactor returns the mean factor of a best-effort image over the
 // latency-critical images that it ran beside, weighted by certainty, and the
 // standard deviation.
@@ -204,7 +253,7 @@
 		return f.mean, f.stdDev
 	}
 	mean, stdDev = t.averageFactor(bestEffort)
-	if t.imageFactors == nil {
+	if t.imageFactors == nil || len(t.imageFactors) > maxPairs {
 		t.imageFactors = map[string]imageEstimate{}
 	}
 	t.imageFactors[bestEffort] = imageEstimate{mean, stdDev}
@@ -216,8 +265,8 @@
 	weight := 1 / (priorFactorStdDev * priorFactorStdDev)
 	sum := priorFactor * weight
 	seen := false
-	for k, g := range t.pairs {
-		if k.bestEffort == bestEffort && g.variance < sameImageStdDev*sameImageStdDev {
+	for _, g := range t.pairs[bestEffort] {
+		if g.variance < sameImageStdDev*sameImageStdDev {
 			w := 1 / (sameImageStdDev*sameImageStdDev + g.variance)
 			sum += w * g.mean
 			weight += w
@@ -233,7 +282,7 @@
 // update is the update step of the Kalman filter: it distributes the difference
 // between the measured stress u and the predicted one over the load and the
 // factors, in proportion to their variances.
-func (t *Table) update(l *load, r Measurement, u float64) {
+func (t *Table) update(now time.Duration, l *load, r Measurement, u float64) {
 	predicted := l.mean
 	noise := steadyNoise
 	if !r.Steady {
@@ -246,6 +295,7 @@
 	total := l.variance + noise*noise
 	for image, x := range shares {
 		g := t.pair(image, r.Image)
+		g.used = now
 		predicted += g.mean * x
 		total += g.variance * x * x
 	}
@@ -261,6 +311,7 @@
 		g.mean = max(0, g.mean+gain*residual)
 		g.variance = max(minFactorStdDev*minFactorStdDev, g.variance*(1-gain*x))
 		delete(t.imageFactors, image)
+		mark(&t.changedPairs, Pair{image, r.Image})
 	}
 	gain := l.variance / total
 	l.mean = min(1, max(0, l.mean+gain*residual))
@@ -296,7 +347,7 @@
 
 // Factor returns the expected interference factor of a pair.
 func (t *Table) Factor(bestEffort, critical string) float64 {
-	if g := t.pairs[pair{bestEffort, critical}]; g != nil {
+	if g := t.pairs[bestEffort][critical]; g != nil {
 		return g.mean
 	}
 	m, _ := t.imageFactor(bestEffort)
@@ -314,36 +365,3 @@
 	}
 	return out
 }
-
-// Saved is the stored form of the factors and base tails.
-type Saved struct {
-	Pairs []SavedPair        `cbor:"1,keyasint"`
-	Bases map[string]float64 `cbor:"2,keyasint"`
-}
-
-// SavedPair is the stored form of one factor. Fill is the best-effort image,
-// Serve the latency-critical one.
-type SavedPair struct {
-	_              struct{} `cbor:",toarray"`
-	Fill, Serve    string
-	Mean, Variance float64
-}
-
-// Save returns the factors and base tails; loads change too fast to be stored.
-func (t *Table) Save() Saved {
-	s := Saved{Bases: t.bases}
-	for k, g := range t.pairs {
-		s.Pairs = append(s.Pairs, SavedPair{Fill: k.bestEffort, Serve: k.critical, Mean: g.mean, Variance: g.variance})
-	}
-	return s
-}
-
-// Restore replaces the factors and base tails by saved ones.
-func (t *Table) Restore(s Saved) {
-	t.pairs = map[pair]*estimate{}
-	for _, p := range s.Pairs {
-		t.pairs[pair{p.Fill, p.Serve}] = &estimate{p.Mean, p.Variance}
-	}
-	t.bases = s.Bases
-	t.imageFactors = nil
-}
--- a/internal/press/press_test.go
+++ b/internal/press/press_test.go
@@ -1,6 +1,7 @@
 package press_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -67,10 +68,71 @@
 // TestRestoreKeepsFactors guards against a new owner that starts without the
 // factors that the previous owner has learned.
 func TestRestoreKeepsFactors(t *testing.T) {
+	g := NewWithT(t)
 	var a, b press.Table
 	observeTasks(&a)
-	b.Restore(a.Save())
-	NewWithT(t).Expect(b.Factor("heavy", "serve")).To(Equal(a.Factor("heavy", "serve")))
+	b.Restore(saveChanges(g, &a))
+	g.Expect(b.Factor("heavy", "serve")).To(Equal(a.Factor("heavy", "serve")))
+	g.Expect(b.Base("serve", target)).To(Equal(a.Base("serve", target)))
+	g.Expect(saveChanges(g, &a)).To(Equal(press.Saved{Bases: map[string]float64{}}), "nothing has changed since")
+}
+
+// saveChanges returns the stored form of what has changed in a table.
+func saveChanges(g *WithT, t *press.Table) press.Saved {
+	out := press.Saved{Bases: map[string]float64{}}
+	pairs, bases := t.Changed()
+	for _, p := range pairs {
+		s, ok := t.SavedPair(p)
+		g.Expect(ok).To(BeTrue())
+		out.Pairs = append(out.Pairs, s)
+	}
+	for _, image := range bases {
+		tail, ok := t.SavedBase(image)
+		g.Expect(ok).To(BeTrue())
+		out.Bases[image] = tail
+	}
+	return out
+}
+
+// Images that get new names all the time must not make the table grow without a bound, nor
+// take those in use out of it.
+func TestImagesOutOfUseAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	var tab press.Table
+	now := time.Duration(0)
+	observe := func(bestEffort, critical string) {
+		now += time.Millisecond
+		tab.Observe(now, press.Measurement{Task: "a", Image: critical, Tail: 10, Target: target, BestEffort: []press.BestEffortTask{{Image: bestEffort, Share: 0.5}}})
+	}
+	stored := map[press.Pair]bool{}
+	bases := map[string]bool{}
+	for i := range 30_000 {
+		observe(fmt.Sprint("old", i), fmt.Sprint("serve", i))
+		if i%100 == 0 {
+			observe("heavy", "serve")
+		}
+		if i%1000 == 0 {
+			pairs, images := tab.Changed()
+			for _, p := range pairs {
+				if _, ok := tab.SavedPair(p); ok {
+					stored[p] = true
+				} else {
+					delete(stored, p)
+				}
+			}
+			for _, x := range images {
+				if _, ok := tab.SavedBase(x); ok {
+					bases[x] = true
+				} else {
+					delete(bases, x)
+				}
+			}
+			g.Expect(len(stored)).To(BeNumerically("<=", 8192))
+			g.Expect(len(bases)).To(BeNumerically("<=", 4096))
+		}
+	}
+	g.Expect(stored).To(HaveKey(press.Pair{BestEffort: "heavy", Critical: "serve"}))
+	g.Expect(bases).To(HaveKey("serve"))
 }
 
 // TestUnseenPairUsesImageFactor checks that the factor of a pair without
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -227,11 +227,11 @@
 // startOwner starts a new owner from the stored rows.
 func (w *world) startOwner() {
 	w.currentTerm++
-	stored := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}}
+	stored := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}, Learned: map[string][]byte{}}
 	for _, k := range slices.Sorted(maps.Keys(w.rows)) {
 		v := w.rows[k]
-		if k == sched.LearnedKey {
-			stored.Learned = v
+		if sched.IsLearned(k) {
+			stored.Learned[k] = v
 		} else if id, ok := sched.CancelledJob(k); ok {
 			stored.Cancels = append(stored.Cancels, id)
 		} else if table, _, id := plat.SplitKey(k); table == sched.StateTable {
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -34,7 +34,7 @@
 }
 
 // rowsPerCommit keeps the rows of one transaction below the platform's limit and
-// leaves some for the checks.
+// leaves some for the checks and for what was learned.
 const rowsPerCommit = 90
 
 // bytesPerCommit bounds the size of one transaction, and bytesPerSlowCommit the same over
@@ -88,14 +88,7 @@
 	for _, k := range c.obsoleteRows.take(max(0, rowsPerCommit-len(w))) {
 		w = append(w, plat.Write{Key: k})
 	}
-	if c.now-c.lastLearnedSave >= learnedSaveInterval {
-		c.lastLearnedSave = c.now
-		if data, err := work.Encode(c.learnedState()); err == nil {
-			w = append(w, plat.Write{Key: LearnedKey, Value: data})
-		} else {
-			c.emit(Decision{Kind: "unsaved", Reason: err.Error()})
-		}
-	}
+	w = append(w, c.saveLearned()...)
 	c.commitSeq++
 	c.commitInflight = true
 	for len(c.onDirtyStored) > 0 && c.onDirtyStored[0].after <= c.dirtyTaken {
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -97,6 +97,7 @@
 	outbox       []*worker
 	runTimes     runTimes
 	interference press.Table
+	learned      learned
 	// listCount numbers the lists of runs that were handled.
 	listCount uint64
 	// challengeCount is the number of challenges issued in this term.
@@ -119,8 +120,6 @@
 	// lastConsolidation is when long-running tasks were last moved off a worker to
 	// clear it for best-effort tasks.
 	lastConsolidation time.Duration
-	// lastLearnedSave is when the learned estimates were last stored.
-	lastLearnedSave time.Duration
 }
 
 // StoredRows is what a new owner reads from the store.
@@ -138,8 +137,8 @@
 	// Barred lists the jobs whose progress can't be read. They must not run, since their
 	// tasks may have run.
 	Barred []string
-	// Learned holds the estimates that the previous owner stored.
-	Learned []byte
+	// Learned holds the rows with what earlier owners have learned, by their keys.
+	Learned map[string][]byte
 }
 
 // New returns the core of an owner that took over the cell at time now. storeOffset
--- a/internal/sched/cost_test.go
+++ b/internal/sched/cost_test.go
@@ -49,6 +49,9 @@
 	for _, f := range s.core.Step(s.now, e) {
 		switch f := f.(type) {
 		case sched.Commit:
+			if err := checkLimits(f, maxRowBytes); err != nil {
+				panic(err)
+			}
 			for _, w := range f.Writes {
 				s.storedBytes += len(w.Value)
 			}
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -1,17 +1,21 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"lagoonrack/internal/learn"
-	"lagoonrack/internal/press"
 	"lagoonrack/internal/work"
 )
 
 // runTimes holds the learned run times by queue. The zero value is ready to use.
 type runTimes struct {
 	queues map[string]queueTimes
+	// changed holds the queues whose run times have changed since they were last saved.
+	changed map[string]bool
 }
 
 // queueTimes holds the learned run times of one queue's tasks: Duration in seconds
@@ -19,41 +23,44 @@
 type queueTimes struct {
 	Duration learn.Estimate `cbor:"1,keyasint"`
 	Ratio    learn.Estimate `cbor:"2,keyasint"`
+	// used is the time of the newest observation.
+	used time.Duration
 }
 
-// learnedRow is the stored form of the estimates that an owner passes to the next.
-type learnedRow struct {
-	Queues       map[string]queueTimes `cbor:"1,keyasint"`
-	Interference press.Saved           `cbor:"2,keyasint"`
-	// WallClockOffset is how far the time of day is ahead of the store's clock, in
-	// milliseconds, or 0 if that is not known.
-	WallClockOffset int64 `cbor:"3,keyasint,omitempty"`
-}
-
-// learnedState returns the estimates to store for the next owner.
-func (c *Core) learnedState() learnedRow {
-	row := learnedRow{Queues: c.runTimes.queues, Interference: c.interference.Save()}
-	if c.wallClock.known {
-		row.WallClockOffset = (c.wallClock.offset - c.storeOffset).Milliseconds()
-	}
-	return row
-}
+// maxQueueTimes bounds the memory of queues that are not in use any more.
+const maxQueueTimes = 4096
 
-// add records a successful task that did the given work, as a duration at full
+// add records at a time a successful task that did the given work, as a duration at full
 // speed.
-func (t *runTimes) add(queue string, s *work.Step, workDone time.Duration) {
+func (t *runTimes) add(now time.Duration, queue string, s *work.Step, workDone time.Duration) {
 	if workDone <= 0 {
 		return
 	}
-	if t.queues == nil {
-		t.queues = map[string]queueTimes{}
-	}
 	v := t.queues[queue]
 	v.Duration = v.Duration.With(workDone.Seconds())
 	if s.Estimate > 0 {
 		v.Ratio = v.Ratio.With(workDone.Seconds() * 1000 / float64(s.Estimate))
 	}
+	v.used = now
+	t.set(queue, v)
+}
+
+// set sets the run times of a queue. If there are too many queues, that which was used
+// longest ago is forgotten.
+func (t *runTimes) set(queue string, v queueTimes) {
+	if t.queues == nil {
+		t.queues, t.changed = map[string]queueTimes{}, map[string]bool{}
+	}
 	t.queues[queue] = v
+	t.changed[queue] = true
+	if len(t.queues) <= maxQueueTimes {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.queues)), func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.queues[a].used, t.queues[b].used), cmp.Compare(a, b))
+	})
+	delete(t.queues, oldest)
+	t.changed[oldest] = true
 }
 
 // estimate returns the expected duration of one task of a step at full speed, and a
@@ -134,27 +141,3 @@
 	}
 	return max(whole, t.workDone), max(0, max(whole, t.workDone)-t.workDone)
 }
-
-// learnedSaveInterval is the minimum time between two writes of the learned
-// estimates, which are added to a transaction that is needed anyway.
-const learnedSaveInterval = 4 * time.Second
-
-// LearnedKey is the key of the row with the learned estimates.
-const LearnedKey = "cell/learned"
-
-// restoreLearned loads the estimates that an earlier owner stored.
-func (c *Core) restoreLearned(data []byte) {
-	if len(data) == 0 {
-		return
-	}
-	var row learnedRow
-	if err := work.Decode(data, &row); err != nil {
-		c.emit(Decision{Kind: "forgot", Reason: err.Error()})
-		return
-	}
-	c.runTimes.queues = row.Queues
-	c.interference.Restore(row.Interference)
-	if row.WallClockOffset != 0 {
-		c.wallClock.restore(time.Duration(row.WallClockOffset)*time.Millisecond + c.storeOffset)
-	}
-}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -266,7 +266,7 @@
 			return
 		}
 		c.countWork(p)
-		c.runTimes.add(p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
+		c.runTimes.add(c.now, p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
 	case work.Failed:
 		w.failureStreak++
 		if w.failureStreak == suspectAfter {
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -48,8 +48,8 @@
 	resultsLost, startsRepeated bool
 	// version is that of the newest row.
 	version uint64
-	// learnedRow is the last value stored under sched.LearnedKey.
-	learnedRow []byte
+	// learnedRows holds the stored rows with what was learned.
+	learnedRows map[string][]byte
 }
 
 // wallClock returns the true time since 1970.
@@ -84,7 +84,7 @@
 
 // newTestCell returns a cell with one worker for each of the sizes, in cores.
 func newTestCell(queues []work.Queue, sizes ...int64) *testCell {
-	s := &testCell{config: &work.Config{Version: 1, Queues: queues}, stateRows: map[string][]byte{}, clockOffset: map[*testWorker]time.Duration{}}
+	s := &testCell{config: &work.Config{Version: 1, Queues: queues}, stateRows: map[string][]byte{}, learnedRows: map[string][]byte{}, clockOffset: map[*testWorker]time.Duration{}}
 	s.core = sched.New(sched.Limits{}, 1, 0, 0, sched.StoredRows{}, s.config)
 	for i, n := range sizes {
 		s.workers = append(s.workers, &testWorker{
@@ -142,9 +142,14 @@
 	for _, f := range slices.Clone(s.core.Step(s.now, e)) {
 		switch f := f.(type) {
 		case sched.Commit:
+			if err := checkLimits(f, maxRowBytes); err != nil {
+				panic(err)
+			}
 			for _, w := range f.Writes {
-				if w.Key == sched.LearnedKey {
-					s.learnedRow = w.Value
+				if sched.IsLearned(w.Key) {
+					if s.learnedRows[w.Key] = w.Value; w.Value == nil {
+						delete(s.learnedRows, w.Key)
+					}
 				}
 				if table, _, id := plat.SplitKey(w.Key); table == sched.StateTable {
 					if s.stateRows[id] = w.Value; w.Value == nil {
