sched, runner: a list of ends that is full says nothing about missing runs

Cause: a minion lists at most 500 ends, and the next ones after the owner has stored the first. A run with a later end was in neither list, and the owner took it for gone, stopped it and placed the task again. The same conclusion was drawn for runs that were being stopped, starts of unknown outcome and placements of an earlier owner. Besides, an agent's planned stop and a minion's farewell looked at the first 500 ends only. Change: LeaseReply and Report say whether there may be more ends; then the owner leaves missing runs as they are. Ruled out: a longer wait, since an outage may last longer.

--- a/internal/plat/runtime.go
+++ b/internal/plat/runtime.go
@@ -28,8 +28,10 @@
 	// Clock is the time on the worker's monotonic clock.
 	Clock   time.Duration
 	Running []work.Running
-	// Ends lists the ended runs whose records the worker still has.
-	Ends []work.End
+	// Ends lists the ended runs whose records the worker still has, the oldest first, and
+	// MoreEnds says that there may be more of them than the answer holds.
+	Ends     []work.End
+	MoreEnds bool
 }
 
 // StartRun orders a worker to start a run.
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -149,7 +149,7 @@
 		signal(r.reportNow)
 	}
 	r.running, r.listed, r.listRequestedAt = reply.Running, true, sent
-	r.ends = unstoredEnds(reply.Ends, r.storedEnd)
+	r.ends, r.moreEnds = unstoredEnds(reply.Ends, r.storedEnd), reply.MoreEnds
 	if len(r.ends) > 0 && r.ends[len(r.ends)-1].N > r.reportedEnd {
 		signal(r.reportNow)
 	}
@@ -168,15 +168,15 @@
 }
 
 // listSurprises reports whether a worker's list shows something that the owner does not
-// learn otherwise: a run that this process did not start, or one that is gone without a
-// reported end. The owner learns of a start from the results of its order.
+// learn otherwise: a run that this process did not start, or one that is gone without an
+// end. The owner learns of a start from the results of its order.
 func (r *Runner) listSurprises(reply plat.LeaseReply) bool {
 	listed := make(map[work.Run]bool, len(reply.Running))
 	for _, x := range reply.Running {
 		listed[x.Run] = true
 	}
 	for _, x := range r.running {
-		if !listed[x.Run] && !slices.ContainsFunc(reply.Ends, func(e work.End) bool { return e.Run == x.Run }) {
+		if !listed[x.Run] && !reply.MoreEnds && !slices.ContainsFunc(reply.Ends, func(e work.End) bool { return e.Run == x.Run }) {
 			return true
 		}
 		delete(listed, x.Run)
--- a/internal/runner/lists_test.go
+++ b/internal/runner/lists_test.go
@@ -71,6 +71,20 @@
 		Expect(list(nil)).To(BeTrue())
 		Expect(report()).To(BeTrue())
 	})
+	It("say that a run without an end may have ended if the worker has more ends", func() {
+		list(nil, known)
+		report()
+		reply := plat.LeaseReply{Ends: []work.End{{N: 1, Run: stray, How: work.Done}}, MoreEnds: true}
+		r.handleLeaseReply(r.ctx, plat.LeaseRequest{Life: r.worker.Life}, reply, r.Clock.Now())
+		time.Sleep(listInterval)
+		rep, _ := r.buildReport()
+		Expect(rep.Listed).To(BeTrue())
+		Expect(rep.MoreEnds).To(BeTrue())
+		list(nil)
+		time.Sleep(listInterval)
+		rep, _ = r.buildReport()
+		Expect(rep.MoreEnds).To(BeFalse())
+	})
 	It("do not come with an end", func() {
 		list(nil, known)
 		report()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -80,9 +80,10 @@
 	ownerBusy bool
 	// running is the worker's newest list of runs, which was requested at
 	// listRequestedAt, and ends lists the ended runs that the owner has not stored.
-	// All are valid if listed is true.
+	// moreEnds says that the worker has more of them. All are valid if listed is true.
 	running         []work.Running
 	ends            []work.End
+	moreEnds        bool
 	listRequestedAt time.Duration
 	listed          bool
 	// starts holds the ordered starts until their runs have ended, and about the
@@ -166,18 +167,16 @@
 	r.Log.Info(logs.Stopped, nil)
 }
 
-// awaitStored waits until the owner has stored the ends that the worker has listed so far,
-// at most endsTimeout.
+// awaitStored waits until the owner has stored the ends that the worker has so far, at most
+// endsTimeout.
 func (r *Runner) awaitStored() {
-	r.mu.Lock()
-	var last int64
-	if n := len(r.ends); n > 0 {
-		last = r.ends[n-1].N
-	}
-	r.mu.Unlock()
+	last, all := r.lastEnd()
 	for until := r.Clock.Now() + endsTimeout; r.Clock.Now() < until; {
+		if !all {
+			last, all = r.lastEnd()
+		}
 		r.mu.Lock()
-		stored := r.storedEnd >= last
+		stored := all && r.storedEnd >= last
 		r.mu.Unlock()
 		if stored {
 			return
@@ -186,6 +185,17 @@
 	}
 }
 
+// lastEnd returns the highest number of an end that the worker has listed and the owner has
+// not stored, or 0, and whether the worker has listed all of its ends.
+func (r *Runner) lastEnd() (last int64, all bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := len(r.ends); n > 0 {
+		last = r.ends[n-1].N
+	}
+	return last, !r.moreEnds
+}
+
 // storedCheckInterval is how often a planned stop checks for ends that are not stored.
 const storedCheckInterval = 10 * time.Millisecond
 
@@ -196,7 +206,7 @@
 	r.workerEnded = false
 	r.lease = lease{limits: r.Limits}
 	r.storedEnd, r.reportedEnd = 0, 0
-	r.running, r.ends = nil, nil
+	r.running, r.ends, r.moreEnds = nil, nil, false
 	r.listed, r.listDue = false, true
 	r.starts = map[work.Run]*startOrder{}
 	r.stoppedAt = map[work.Run]time.Duration{}
@@ -245,28 +255,44 @@
 	}
 }
 
-// lastListTimeout bounds the request for a worker's last list, which answers the worker's
-// farewell: the worker waits about a second for that.
-const lastListTimeout = 300 * time.Millisecond
+// lastListTimeout bounds a request for a worker's last list, and lastListsTimeout all of
+// them, which precede the answer to the worker's farewell: the worker waits about a second
+// for that.
+const (
+	lastListTimeout  = 300 * time.Millisecond
+	lastListsTimeout = 700 * time.Millisecond
+)
 
-// readLastEnds reads the list of runs and ends of a worker that is about to end.
+// readLastEnds reads the list of runs and ends of a worker that is about to end. If the
+// worker has more ends than one list holds, it reads on when the owner has stored the first.
 func (r *Runner) readLastEnds(id string) {
+	ctx, cancel := context.WithTimeout(r.ctx, lastListsTimeout)
+	defer cancel()
+	for r.readEnds(ctx, id) && ctx.Err() == nil {
+		r.awaitEndsStored(ctx)
+	}
+}
+
+// readEnds reads the list of runs and ends of a worker once, and reports whether the worker
+// has more ends.
+func (r *Runner) readEnds(ctx context.Context, id string) bool {
 	r.mu.Lock()
 	request := plat.LeaseRequest{Life: r.worker.Life, Term: r.term, Seen: r.storedEnd}
 	current := r.worker.ID == id && !r.workerEnded
 	r.mu.Unlock()
 	if !current {
-		return
+		return false
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, lastListTimeout)
+	c, cancel := context.WithTimeout(ctx, lastListTimeout)
 	defer cancel()
 	sent := r.Clock.Now()
-	reply, err := r.Runtime.Hold(ctx, request)
+	reply, err := r.Runtime.Hold(c, request)
 	if err != nil {
 		r.Log.Info(logs.PeerLost, logs.Fields{"worker": id, "step": "read last ends", "error": err.Error()})
-		return
+		return false
 	}
 	r.handleLeaseReply(ctx, request, reply, sent)
+	return reply.MoreEnds
 }
 
 // signal wakes the receiver of a channel with a buffer of one, now or at its next
--- a/internal/runner/stop_test.go
+++ b/internal/runner/stop_test.go
@@ -31,6 +31,23 @@
 		r.awaitStored()
 		Expect(r.Clock.Now() - began).To(And(BeNumerically(">=", 300*time.Millisecond), BeNumerically("<", time.Second)))
 	})
+	It("waits for those that did not fit into the worker's list", func() {
+		r.moreEnds = true
+		began := r.Clock.Now()
+		time.AfterFunc(100*time.Millisecond, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.recordStored(2)
+			r.ends, r.moreEnds = []work.End{{N: 3, How: work.Done}}, false
+		})
+		time.AfterFunc(300*time.Millisecond, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.recordStored(3)
+		})
+		r.awaitStored()
+		Expect(r.Clock.Now() - began).To(And(BeNumerically(">=", 300*time.Millisecond), BeNumerically("<", time.Second)))
+	})
 	It("does not wait without any", func() {
 		r.ends = nil
 		began := r.Clock.Now()
@@ -61,6 +78,24 @@
 		Expect(r.workerEnded).To(BeTrue())
 		Expect(r.ends).To(Equal([]work.End{last}))
 	})
+	It("is asked again if it has more ends than one list holds", func() {
+		r := newRunner(&blockingWorker{})
+		r.endsStored, r.reportNow = make(chan struct{}, 1), make(chan struct{}, 1)
+		var reported []int64
+		r.Runtime.Hold = func(_ context.Context, q plat.LeaseRequest) (plat.LeaseReply, error) {
+			next := work.End{N: q.Seen + 1, How: work.Done}
+			reported = append(reported, next.N)
+			time.AfterFunc(20*time.Millisecond, func() {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.recordStored(next.N)
+			})
+			return plat.LeaseReply{Ends: []work.End{next}, MoreEnds: next.N < 4}, nil
+		}
+		r.Deregistered(r.worker.ID)
+		Expect(r.workerEnded).To(BeTrue())
+		Expect(reported).To(Equal([]int64{1, 2, 3, 4}))
+	})
 	It("counts as ended although it does not answer", func() {
 		r := newRunner(&blockingWorker{})
 		r.reportNow = make(chan struct{}, 1)
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -123,6 +123,10 @@
 	versions    map[string]uint64
 	version     uint64
 	currentTerm uint64
+	// storeDownUntil is when the store answers again.
+	storeDownUntil time.Duration
+	// endsPerReport is the number of ends that a report can hold.
+	endsPerReport int
 	// owners lists the owners by term. Deposed ones may go on for a while.
 	owners  []*owner
 	workers []*node
@@ -159,6 +163,7 @@
 		tasks: map[string]*history{}, cancelledAt: map[string]time.Duration{}, pendingReplies: map[uint64]func(work.Reply){},
 		checkEachEvent: seed < sequences,
 	}
+	w.endsPerReport = 1 + w.rng.IntN(5)
 	for i := range 2 + w.rng.IntN(3) {
 		r := &node{id: fmt.Sprintf("w%d", i), addr: fmt.Sprintf("a%d", i), size: vect.Size{Cores: 4000, Memory: 100}}
 		w.startWorker(r)
@@ -298,7 +303,7 @@
 // commit stores the writes, if the owner still owns the cell by then. A deposed owner
 // learns of that in half of the cases and then stops.
 func (w *world) commit(o *owner, c sched.Commit) {
-	w.after(w.messageDelay(), func() {
+	w.after(max(0, w.storeDownUntil-w.now)+w.messageDelay(), func() {
 		if o.term != w.currentTerm {
 			o.dead = o.dead || w.rng.IntN(2) == 0
 			return
@@ -324,7 +329,7 @@
 // deleteRows carries a deletion out, which has no fence. Now and then it fails, takes
 // effect without an answer, or takes effect late.
 func (w *world) deleteRows(o *owner, f sched.DeleteRows) {
-	if w.chance(0.2) {
+	if w.now < w.storeDownUntil || w.chance(0.2) {
 		w.after(w.messageDelay(), func() { w.step(o, sched.DeletionFailed{Job: f.Job}) })
 		return
 	}
@@ -689,6 +694,9 @@
 		Worker: work.Worker{Life: work.Life{ID: r.id, Born: r.born}, Service: "s", Size: r.size, Leaving: r.draining, Remaining: 2000},
 		Ends:   slices.Clone(r.ends),
 	}
+	if len(r.ends) >= w.endsPerReport {
+		report.Ends, report.MoreEnds = report.Ends[:w.endsPerReport], true
+	}
 	for _, x := range slices.SortedFunc(maps.Keys(r.runs), func(a, b work.Run) int { return slices.Compare([]byte(a.Task), []byte(b.Task)) }) {
 		percent := 100
 		if y := r.runs[x]; w.speculative && y.endsAt > y.startedAt {
@@ -768,7 +776,9 @@
 // injectFault injects one random fault or other disturbance, such as cancelled jobs.
 func (w *world) injectFault() {
 	r := w.workers[w.rng.IntN(len(w.workers))]
-	switch w.rng.IntN(9) {
+	switch w.rng.IntN(10) {
+	case 9:
+		w.storeDownUntil = w.now + time.Duration(w.rng.IntN(3000))*time.Millisecond
 	case 8:
 		w.readJobs()
 	case 0:
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -44,7 +44,7 @@
 		c.handleEnd(w, x)
 	}
 	if e.Listed {
-		c.reconcile(w, e.Running, c.now-delay-time.Duration(e.Age)*time.Millisecond)
+		c.reconcile(w, e.Report, c.now-delay-time.Duration(e.Age)*time.Millisecond)
 	}
 	c.updateLease(w, e)
 	c.replyToReport(w, e)
@@ -279,9 +279,9 @@
 // run is taken to be gone.
 const maxMissedLists = 2
 
-// reconcile compares the list of a worker's runs, as of a time, with its
+// reconcile compares the list of a worker's runs in a report, as of a time, with its
 // placements.
-func (c *Core) reconcile(w *worker, running []work.Running, at time.Duration) {
+func (c *Core) reconcile(w *worker, report work.Report, at time.Duration) {
 	// An agent repeats its last list while the worker does not answer. A repeated
 	// list is no evidence that a run has stalled.
 	newList := at > w.listTime+messageMargin
@@ -289,7 +289,7 @@
 		w.listTime = at
 	}
 	c.listCount++
-	for _, r := range running {
+	for _, r := range report.Running {
 		p := w.placementOf(r.Run)
 		if p == nil {
 			c.stopUnknownRun(w, r.Run)
@@ -303,6 +303,10 @@
 		}
 	}
 	c.observeInterference(w)
+	if report.MoreEnds {
+		// A run that is not listed may have ended, even successfully.
+		return
+	}
 	for _, p := range w.placements.sorted() {
 		if p.listedIn != c.listCount {
 			c.handleMissing(p, at)
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -46,6 +46,9 @@
 	// resultsLost says that the owner gets no results of its orders, and startsRepeated
 	// that each worker gets each start twice and only its second answer arrives.
 	resultsLost, startsRepeated bool
+	// storeDown says that commits are not answered; they wait in waitingCommits.
+	storeDown      bool
+	waitingCommits []sched.Commit
 	// version is that of the newest row.
 	version uint64
 	// learnedRows holds the stored rows with what was learned.
@@ -63,6 +66,9 @@
 	ends  []work.End
 	// lastEnd is the number of the newest end.
 	lastEnd int64
+	// endsPerReport is the number of ends that a report can hold, or 0 if that is not
+	// limited.
+	endsPerReport int
 	// process counts the restarts of the agent.
 	process int64
 	// echo is the newest challenge that this process of the agent received.
@@ -120,16 +126,29 @@
 // challenge.
 func (s *testCell) sendReport(w *testWorker) {
 	s.challenge = 0
-	s.step(sched.Report{Report: s.newReport(w)})
+	token := uint64(1 + slices.Index(s.workers, w))
+	s.step(sched.Report{Token: token, Report: s.newReport(w)})
 	if s.challenge != 0 {
 		w.echo = s.challenge
-		s.step(sched.Report{Report: s.newReport(w)})
+		s.step(sched.Report{Token: token, Report: s.newReport(w)})
+	}
+}
+
+// forgetStored makes the worker to whose report the owner replies forget the ends that are
+// stored.
+func (s *testCell) forgetStored(r sched.Reply) {
+	if r.Token > 0 {
+		w := s.workers[r.Token-1]
+		w.ends = slices.DeleteFunc(w.ends, func(e work.End) bool { return e.N <= r.Noted })
 	}
 }
 
 // newReport returns the report that the worker's agent would send now.
 func (s *testCell) newReport(w *testWorker) work.Report {
 	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Unix: (s.wallClock() + s.clockOffset[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.ReportID{Process: 1 + w.process, Sent: s.now, Echo: w.echo}}
+	if n := w.endsPerReport; n > 0 && len(r.Ends) >= n {
+		r.Ends, r.MoreEnds = r.Ends[:n], true
+	}
 	for _, k := range slices.SortedFunc(maps.Keys(w.runs), func(a, b work.Run) int { return int(a.Num - b.Num) }) {
 		x := w.runs[k]
 		r.Running = append(r.Running, work.Running{Run: k, Percent: x.percent, Figure: x.measured})
@@ -142,22 +161,11 @@
 	for _, f := range slices.Clone(s.core.Step(s.now, e)) {
 		switch f := f.(type) {
 		case sched.Commit:
-			if err := checkLimits(f, maxRowBytes); err != nil {
-				panic(err)
-			}
-			for _, w := range f.Writes {
-				if sched.IsLearned(w.Key) {
-					if s.learnedRows[w.Key] = w.Value; w.Value == nil {
-						delete(s.learnedRows, w.Key)
-					}
-				}
-				if table, _, id := plat.SplitKey(w.Key); table == sched.StateTable {
-					if s.stateRows[id] = w.Value; w.Value == nil {
-						delete(s.stateRows, id)
-					}
-				}
+			if s.storeDown {
+				s.waitingCommits = append(s.waitingCommits, f)
+				continue
 			}
-			s.step(sched.Committed{Seq: f.Seq})
+			s.commit(f)
 		case sched.Send:
 			s.applyOrder(f)
 		case sched.DeleteRows:
@@ -169,6 +177,7 @@
 			s.step(sched.RowsDeleted{Job: f.Job, Version: s.version})
 		case sched.Reply:
 			s.challenge = f.Challenge
+			s.forgetStored(f)
 		case sched.AskAdvisor:
 			s.adviceRequests = append(s.adviceRequests, f)
 		case sched.Decision:
@@ -177,6 +186,36 @@
 	}
 }
 
+// commit stores the writes of a transaction.
+func (s *testCell) commit(f sched.Commit) {
+	if err := checkLimits(f, maxRowBytes); err != nil {
+		panic(err)
+	}
+	for _, w := range f.Writes {
+		if sched.IsLearned(w.Key) {
+			if s.learnedRows[w.Key] = w.Value; w.Value == nil {
+				delete(s.learnedRows, w.Key)
+			}
+		}
+		if table, _, id := plat.SplitKey(w.Key); table == sched.StateTable {
+			if s.stateRows[id] = w.Value; w.Value == nil {
+				delete(s.stateRows, id)
+			}
+		}
+	}
+	s.step(sched.Committed{Seq: f.Seq})
+}
+
+// setStoreDown stops or resumes the answers to commits.
+func (s *testCell) setStoreDown(down bool) {
+	s.storeDown = down
+	waiting := s.waitingCommits
+	s.waitingCommits = nil
+	for _, f := range waiting {
+		s.commit(f)
+	}
+}
+
 // applyOrder lets the worker carry out an order and returns the results to the owner.
 func (s *testCell) applyOrder(f sched.Send) {
 	w := s.workerByAgent(f.Agent)
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -22,7 +22,8 @@
 	Agent  string `cbor:"1,keyasint"`
 	Worker Worker `cbor:"2,keyasint"`
 	// Listed says that Running is the complete list of the worker's runs. Age is
-	// the time since the agent requested that list, in milliseconds.
+	// the time since the agent requested that list, in milliseconds. If MoreEnds is set,
+	// a run that is in neither list may have ended.
 	Listed  bool      `cbor:"3,keyasint,omitempty"`
 	Age     int64     `cbor:"4,keyasint,omitempty"`
 	Running []Running `cbor:"5,keyasint,omitempty"`
@@ -41,6 +42,8 @@
 	// Name is the agent's name.
 	Name string   `cbor:"12,keyasint"`
 	Word ReportID `cbor:"13,keyasint"`
+	// MoreEnds says that the worker has more ends than Ends lists.
+	MoreEnds bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Reply is the owner's answer to a Report.
