sched: the progress of a large job is stored in pages of 128 tasks

Cause: the progress of a job was one row without a bound, written as a whole with each change, in one transaction with that of other jobs. Above the store's limit for a value the store refuses the transaction each time. Change: jobs with more than 128 tasks over all occurrences have a main row and pages of 128 tasks; what has changed is queued by row instead of by job. A row above half of the limit is divided into parts that are written together. A job that does not fit one transaction takes turns with the others, the main row first. Pages of past occurrences and of deleted jobs are deleted. A job's progress in the single row of earlier versions is read and continued there. Ruled out: a bound on tasks, compression, and parts of the single row alone (a megabyte for each end, and more than a transaction takes).

--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -71,21 +71,12 @@
 // keep every process from owning the cell. A job whose state is not known is left out
 // too, since its tasks may have run.
 func loadState(ctx context.Context, rows plat.Rows, skip func(key string, err error)) (sched.StoredRows, plat.Stamp, error) {
-	found := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}, Learned: map[string][]byte{}}
+	found := sched.StoredRows{Versions: map[string]uint64{}, Learned: map[string][]byte{}}
 	states, _, err := rows.List(ctx, sched.StateTable)
 	if err != nil {
 		return found, plat.Stamp{}, err
 	}
-	for _, r := range states {
-		_, _, id := plat.SplitKey(r.Key)
-		st, err := work.DecodeState(r.Value)
-		if err != nil {
-			skip(r.Key, err)
-			found.Barred = append(found.Barred, id)
-			continue
-		}
-		found.States[id] = st
-	}
+	found.Progress, found.Barred = sched.ReadProgress(states, skip)
 	cell, _, err := rows.List(ctx, sched.CellTable)
 	if err != nil {
 		return found, plat.Stamp{}, err
@@ -121,9 +112,9 @@
 		found.Jobs = append(found.Jobs, j)
 		found.Versions[j.ID] = r.Version
 	}
-	for id := range found.States {
+	for id, p := range found.Progress {
 		if !known[sched.JobKey(id)] {
-			found.Orphans = append(found.Orphans, id)
+			found.Orphans = append(found.Orphans, p.Keys...)
 		}
 	}
 	slices.Sort(found.Orphans)
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -125,8 +125,9 @@
 	currentTerm uint64
 	// storeDownUntil is when the store answers again.
 	storeDownUntil time.Duration
-	// endsPerReport is the number of ends that a report can hold.
-	endsPerReport int
+	// endsPerReport is the number of ends that a report can hold, rowBytes the size of a
+	// value that the store takes, and tasksPerRow the number of tasks in a row.
+	endsPerReport, rowBytes, tasksPerRow int
 	// owners lists the owners by term. Deposed ones may go on for a while.
 	owners  []*owner
 	workers []*node
@@ -163,7 +164,7 @@
 		tasks: map[string]*history{}, cancelledAt: map[string]time.Duration{}, pendingReplies: map[uint64]func(work.Reply){},
 		checkEachEvent: seed < sequences,
 	}
-	w.endsPerReport = 1 + w.rng.IntN(5)
+	w.endsPerReport, w.rowBytes, w.tasksPerRow = 1+w.rng.IntN(5), 400+w.rng.IntN(1000), 1+w.rng.IntN(6)
 	for i := range 2 + w.rng.IntN(3) {
 		r := &node{id: fmt.Sprintf("w%d", i), addr: fmt.Sprintf("a%d", i), size: vect.Size{Cores: 4000, Memory: 100}}
 		w.startWorker(r)
@@ -232,19 +233,16 @@
 // startOwner starts a new owner from the stored rows.
 func (w *world) startOwner() {
 	w.currentTerm++
-	stored := sched.StoredRows{States: map[string]work.State{}, Versions: map[string]uint64{}, Learned: map[string][]byte{}}
+	stored := sched.StoredRows{Versions: map[string]uint64{}, Learned: map[string][]byte{}}
+	var progress []plat.Row
 	for _, k := range slices.Sorted(maps.Keys(w.rows)) {
 		v := w.rows[k]
 		if sched.IsLearned(k) {
 			stored.Learned[k] = v
 		} else if id, ok := sched.CancelledJob(k); ok {
 			stored.Cancels = append(stored.Cancels, id)
-		} else if table, _, id := plat.SplitKey(k); table == sched.StateTable {
-			var st work.State
-			if err := work.Decode(v, &st); err != nil {
-				w.t.Fatal(err)
-			}
-			stored.States[id] = st
+		} else if table, _, _ := plat.SplitKey(k); table == sched.StateTable {
+			progress = append(progress, plat.Row{Key: k, Value: v})
 		} else {
 			var j work.Job
 			if err := work.Decode(v, &j); err != nil {
@@ -254,13 +252,14 @@
 			stored.Versions[j.ID] = w.versions[k]
 		}
 	}
-	for id := range stored.States {
+	stored.Progress, _ = sched.ReadProgress(progress, func(key string, err error) { w.fail("row %s: %v", key, err) })
+	for id, p := range stored.Progress {
 		if w.rows[sched.JobKey(id)] == nil {
-			stored.Orphans = append(stored.Orphans, id)
+			stored.Orphans = append(stored.Orphans, p.Keys...)
 		}
 	}
 	slices.Sort(stored.Orphans)
-	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, EndedJobRetention: retention}
+	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow}
 	o := &owner{core: sched.New(l, w.currentTerm, w.now, 0, stored, w.config()), term: w.currentTerm, lastStates: map[string]string{}}
 	w.owners = append(w.owners, o)
 	w.logf("owner %d", o.term)
@@ -303,6 +302,9 @@
 // commit stores the writes, if the owner still owns the cell by then. A deposed owner
 // learns of that in half of the cases and then stops.
 func (w *world) commit(o *owner, c sched.Commit) {
+	if err := checkLimits(c, w.rowBytes); err != nil {
+		w.fail("owner %d: %v", o.term, err)
+	}
 	w.after(max(0, w.storeDownUntil-w.now)+w.messageDelay(), func() {
 		if o.term != w.currentTerm {
 			o.dead = o.dead || w.rng.IntN(2) == 0
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -5,16 +5,23 @@
 	"lagoonrack/internal/work"
 )
 
-// markDirty queues a job whose state has to be stored.
-func (c *Core) markDirty(j *job) {
-	if !j.dirty {
-		j.dirty = true
-		c.dirtyJobs = append(c.dirtyJobs, j)
+// dirtyRow names a row of progress that has to be stored.
+type dirtyRow struct {
+	job *job
+	// page is the number of a page, or mainRow.
+	page int
+}
+
+// markDirty queues a page or the main row of a job's progress to be stored.
+func (c *Core) markDirty(j *job, page int) {
+	if !j.isDirty(page) {
+		j.setDirty(page, true)
+		c.dirtyRows = append(c.dirtyRows, dirtyRow{j, page})
 		c.dirtyAdded++
 	}
 }
 
-// storedCallback waits until the jobs are stored that were dirty when it was registered.
+// storedCallback waits until the rows are stored that were dirty when it was registered.
 type storedCallback struct {
 	// after is dirtyAdded at that time.
 	after uint64
@@ -24,7 +31,7 @@
 // afterStored calls f once all changes made so far are stored.
 func (c *Core) afterStored(f func()) {
 	switch {
-	case len(c.dirtyJobs) > 0:
+	case len(c.dirtyRows) > 0:
 		c.onDirtyStored = append(c.onDirtyStored, storedCallback{after: c.dirtyAdded, call: f})
 	case c.commitInflight:
 		c.onInflightStored = append(c.onInflightStored, f)
@@ -52,50 +59,100 @@
 	return work.Encode(s)
 }
 
+// transaction collects the writes of a commit.
+type transaction struct {
+	writes []plat.Write
+	// size is the size of the values, and maxSize its bound.
+	size, maxSize int
+}
+
+// hasRoom reports whether the transaction has room for further rows with values of about the
+// given size. An empty one has room for every single row.
+func (t *transaction) hasRoom(rows, size int) bool {
+	return len(t.writes) == 0 || len(t.writes)+rows <= rowsPerCommit && t.size+size <= t.maxSize
+}
+
 // commitDirty starts a transaction with the changed rows unless one is in flight.
 // Changes that do not fit are committed in several transactions; each callback runs after
 // the one that stores the last of the changes that it waits for.
 func (c *Core) commitDirty() {
-	if c.commitInflight || len(c.dirtyJobs) == 0 && c.obsoleteRows.len() == 0 {
+	if c.commitInflight || len(c.dirtyRows) == 0 && c.obsoleteRows.len() == 0 {
 		return
 	}
-	var w []plat.Write
-	size := 0
-	n := 0
-	maxSize := bytesPerCommit
+	t := transaction{maxSize: bytesPerCommit}
 	if c.limits.SlowLink {
-		maxSize = bytesPerSlowCommit
+		t.maxSize = bytesPerSlowCommit
 	}
-	for n < len(c.dirtyJobs) && len(w) < rowsPerCommit && size < maxSize {
-		j := c.dirtyJobs[n]
-		n++
-		j.dirty = false
-		if c.jobs[j.ID] != j {
-			// The rows of the job were deleted in the meantime.
-			continue
-		}
-		data, err := c.encodeState(j.state())
-		if err != nil {
-			c.emit(Decision{Kind: "unsaved", Job: j.ID, Reason: err.Error()})
-			continue
-		}
-		size += len(data)
-		c.obsoleteRows.remove(StateKey(j.ID))
-		w = append(w, plat.Write{Key: StateKey(j.ID), Value: data})
-	}
-	c.dirtyJobs = append(c.dirtyJobs[:0], c.dirtyJobs[n:]...)
-	c.dirtyTaken += uint64(n)
-	for _, k := range c.obsoleteRows.take(max(0, rowsPerCommit-len(w))) {
-		w = append(w, plat.Write{Key: k})
+	c.takeDirty(&t)
+	for _, k := range c.obsoleteRows.take(max(0, rowsPerCommit-len(t.writes))) {
+		t.writes = append(t.writes, plat.Write{Key: k})
 	}
-	w = append(w, c.saveLearned()...)
+	t.writes = append(t.writes, c.saveLearned()...)
 	c.commitSeq++
 	c.commitInflight = true
 	for len(c.onDirtyStored) > 0 && c.onDirtyStored[0].after <= c.dirtyTaken {
 		c.onInflightStored = append(c.onInflightStored, c.onDirtyStored[0].call)
 		c.onDirtyStored = c.onDirtyStored[1:]
 	}
-	c.emit(Commit{Seq: c.commitSeq, Writes: w})
+	c.emit(Commit{Seq: c.commitSeq, Writes: t.writes})
+}
+
+// takeDirty moves changed rows to a transaction, the oldest change first. The rows of one job
+// are taken together if they fit, so that the members of a gang start together. A job that
+// does not fit one transaction takes turns with the others.
+func (c *Core) takeDirty(t *transaction) {
+	inTurns := false
+	taken := 0
+	defer func() {
+		c.dirtyRows = append(c.dirtyRows[:0], c.dirtyRows[taken:]...)
+		c.dirtyTaken += uint64(taken)
+	}()
+	for _, r := range c.dirtyRows {
+		j := r.job
+		if !j.isDirty(r.page) || c.jobs[j.ID] != j {
+			// The row was stored before its turn, or the job's rows were deleted.
+			taken++
+			continue
+		}
+		rows := j.dirtyRows()
+		if !inTurns && !t.hasRoom(len(rows), j.dirtyBytes()) {
+			return
+		}
+		if inTurns = inTurns || len(rows) > rowsPerCommit || j.dirtyBytes() > t.maxSize; inTurns {
+			rows = []int{r.page}
+			if j.mainDirty && r.page != mainRow {
+				rows = []int{mainRow, r.page}
+			}
+		}
+		for _, page := range rows {
+			if !c.takeRow(t, j, page) {
+				return
+			}
+		}
+		taken++
+	}
+}
+
+// takeRow moves a page or the main row of a job to a transaction, or returns false if there
+// is no room for it.
+func (c *Core) takeRow(t *transaction, j *job, page int) bool {
+	if !t.hasRoom(1, 0) {
+		return false
+	}
+	parts, n := j.parts(page), len(t.writes)
+	writes, size := c.appendRow(t.writes, j, page)
+	if !t.hasRoom(len(writes)-n, size) {
+		// The row is encoded again for the next transaction.
+		j.setParts(page, parts)
+		return false
+	}
+	j.setDirty(page, false)
+	if page != mainRow {
+		j.pageBytes = size
+	}
+	t.writes = writes
+	t.size += size
+	return true
 }
 
 // handleCommitted ends the transaction in flight and runs its callbacks.
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -63,15 +63,16 @@
 	// pendingCancels holds the cancelled jobs whose own row has not been seen yet.
 	pendingCancels map[string]bool
 
-	// dirtyJobs lists the jobs whose state has to be stored.
-	dirtyJobs []*job
+	// dirtyRows lists the rows of progress that have to be stored, the oldest change first.
+	// A row that was stored before its turn stays in the list and counts as taken then.
+	dirtyRows []dirtyRow
 	// obsoleteRows holds the keys of state rows to delete.
 	obsoleteRows keyQueue
 	purger
-	// dirtyAdded counts the jobs that were ever added to dirtyJobs, and dirtyTaken those
+	// dirtyAdded counts the rows that were ever added to dirtyRows, and dirtyTaken those
 	// that were taken into a transaction.
 	dirtyAdded, dirtyTaken uint64
-	// onDirtyStored holds callbacks that wait until jobs in dirtyJobs are stored, in the
+	// onDirtyStored holds callbacks that wait until rows in dirtyRows are stored, in the
 	// order of their registration, and onInflightStored those that wait for the
 	// transaction in flight.
 	onDirtyStored    []storedCallback
@@ -124,13 +125,14 @@
 
 // StoredRows is what a new owner reads from the store.
 type StoredRows struct {
-	Jobs   []work.Job
-	States map[string]work.State
+	Jobs []work.Job
+	// Progress holds the progress of jobs.
+	Progress map[string]Progress
 	// Versions holds the versions of the rows of Jobs.
 	Versions map[string]uint64
 	Cancels  []string
-	// Orphans lists the jobs with a row of progress and no row in the job table: the rows
-	// of an ended job of which an earlier owner could delete only one.
+	// Orphans lists the keys of rows with the progress of jobs that have no row in the job
+	// table: of ended jobs that an earlier owner could delete only in part.
 	Orphans []string
 	// Rejected lists the rejected jobs.
 	Rejected []RejectedJob
@@ -166,10 +168,10 @@
 	c.restoreLearned(stored.Learned)
 	byAcceptance := func(a, b work.Job) int { return cmp.Compare(a.At, b.At) }
 	for _, j := range slices.SortedStableFunc(slices.Values(stored.Jobs), byAcceptance) {
-		c.loadJob(j, stored.States[j.ID], stored.Versions[j.ID])
+		c.loadJob(j, stored.Progress[j.ID], stored.Versions[j.ID])
 	}
-	for _, id := range stored.Orphans {
-		c.obsoleteRows.add(StateKey(id))
+	for _, key := range stored.Orphans {
+		c.obsoleteRows.add(key)
 	}
 	for _, id := range stored.Cancels {
 		c.cancel(id)
@@ -250,13 +252,12 @@
 	c.changes.all, c.changes.rebuild = true, true
 }
 
-// JobTable and StateTable are the tables of a cell's rows. Jobs are partitioned by
+// JobTable is the table of the rows that accept, reject and cancel jobs. Jobs are partitioned by
 // their first digit because the store executes the transactions of one partition
 // one after another: while the store is slow, acceptances must not queue behind one
 // another or behind the owner's commits.
 const (
-	JobTable   = "jobs"
-	StateTable = "state"
+	JobTable = "jobs"
 	// cancelSuffix ends the key of the row that cancels a job.
 	cancelSuffix = "/cancel"
 )
@@ -264,9 +265,6 @@
 // JobKey returns the key of the row that accepts a job.
 func JobKey(id string) string { return plat.Key(JobTable, id[:min(1, len(id))], id) }
 
-// StateKey returns the key of the row that holds a job's progress.
-func StateKey(id string) string { return plat.Key(StateTable, "", id) }
-
 // CancelKey returns the key of the row that cancels a job.
 func CancelKey(id string) string { return JobKey(id) + cancelSuffix }
 
--- a/internal/sched/ends_test.go
+++ b/internal/sched/ends_test.go
@@ -6,7 +6,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"lagoonrack/internal/sched"
 	"lagoonrack/internal/work"
 )
 
@@ -55,12 +54,7 @@
 	})
 	It("are not started again by a new owner", func() {
 		endAll(work.Done)
-		stored := sched.StoredRows{States: map[string]work.State{}}
-		var st work.State
-		Expect(work.Decode(s.stateRows["j"], &st)).To(Succeed())
-		stored.States["j"] = st
-		stored.Jobs = []work.Job{{ID: "j", Queue: "short", Service: "s", Spec: "x", Steps: []work.Step{shortStep(tasks, false)}}}
-		s.core = sched.New(sched.Limits{}, 2, s.now, 0, stored, s.config)
+		s.replaceOwner(work.Job{ID: "j", Queue: "short", Service: "s", Spec: "x", Steps: []work.Step{shortStep(tasks, false)}})
 		s.setStoreDown(true)
 		s.advance(5 * time.Second)
 		s.setStoreDown(false)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -36,7 +36,7 @@
 	// visibleState is the state reported to clients. Except for a cancellation it
 	// is always stored already.
 	visibleState string
-	dirty        bool
+	progressRows
 	// acceptedAt is when the job was accepted, by the owner's clock.
 	acceptedAt time.Duration
 	// seq numbers the jobs in the order in which the owner learned of them.
@@ -126,6 +126,7 @@
 func (c *Core) addJob(spec work.Job) *job {
 	c.jobCount++
 	j := &job{Job: spec, visibleState: "queued", acceptedAt: c.acceptanceTime(spec), seq: c.jobCount}
+	j.progressRows = newProgressRows(&j.Job, c.limits)
 	c.jobs[j.ID] = j
 	c.active = append(c.active, j)
 	if j.Times > 0 {
@@ -150,7 +151,7 @@
 	j.rowVersion = e.Version
 	if _, again := c.deleted[id]; again {
 		// The record of the earlier job's progress may still be stored.
-		c.markDirty(j)
+		c.markDirty(j, mainRow)
 	}
 	c.emit(Decision{Kind: "job", Job: j.ID, Reason: j.Queue})
 	c.changes.addJob(j)
@@ -209,10 +210,15 @@
 // updateJob drops complete occurrences after a change, completes the job if all are
 // complete, and publishes a new state once it is stored.
 func (c *Core) updateJob(j *job) {
+	past := j.past
 	for len(j.openOccurrences) > 0 && j.openOccurrences[0].complete() && !j.openOccurrences[0].hasPlacements() {
 		j.openOccurrences = j.openOccurrences[1:]
 		j.past++
 	}
+	if j.past > past {
+		c.markDirty(j, mainRow)
+		c.dropPastPages(j)
+	}
 	if j.allDone() && !j.complete && !j.cancelled {
 		j.complete = true
 		c.setEnded(j)
@@ -247,7 +253,7 @@
 // setEnded records that a job has ended now.
 func (c *Core) setEnded(j *job) {
 	j.endedAt = c.storeMillis()
-	c.markDirty(j)
+	c.markDirty(j, mainRow)
 	c.afterStored(func() { j.endStored = true })
 }
 
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -27,7 +27,7 @@
 	// learnedSaveInterval is the minimum time between two writes of what was learned,
 	// which are added to a transaction that is needed anyway.
 	learnedSaveInterval = 4 * time.Second
-	// learnedPageBytes is the size of a page, and learnedPagesPerSave the number of pages
+	// learnedPageBytes is the size of a page, unless that is near what fits a row, and learnedPagesPerSave the number of pages
 	// in one transaction.
 	learnedPageBytes    = 8 << 10
 	learnedPagesPerSave = 3
@@ -147,7 +147,7 @@
 // noteRecord notes that a record has changed or, if it does not exist any more, that it was
 // forgotten.
 func (c *Core) noteRecord(r learnedRecord, exists bool) {
-	if exists && r.size() <= maxRecordBytes {
+	if exists && r.size() <= min(maxRecordBytes, c.learned.book.PageBytes) {
 		c.learned.book.Put(r, r.size())
 	} else {
 		c.learned.book.Drop(r)
@@ -202,7 +202,7 @@
 // restoreLearned loads the rows that an earlier owner stored, by their keys. Rows that can't
 // be used are deleted.
 func (c *Core) restoreLearned(rows map[string][]byte) {
-	c.learned.book.PageBytes = learnedPageBytes
+	c.learned.book.PageBytes = min(learnedPageBytes, c.limits.rowBytes()/2)
 	for _, key := range sortedKeys(rows) {
 		page, ok := pageNumber(key)
 		var row learnedRow
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -13,6 +13,9 @@
 	SlowLink bool
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
+	// RowBytes bounds the value of a row, and TasksPerRow the tasks whose progress is in
+	// one row.
+	RowBytes, TasksPerRow int
 }
 
 const (
@@ -34,7 +37,7 @@
 	messageMargin = 50 * time.Millisecond
 )
 
-func orDefault(v, d time.Duration) time.Duration {
+func orDefault[T ~int | ~int64](v, d T) T {
 	if v > 0 {
 		return v
 	}
@@ -46,6 +49,8 @@
 	l.Lease = orDefault(l.Lease, defaultLease)
 	l.OwnerTimeout = orDefault(l.OwnerTimeout, defaultOwnerTimeout)
 	l.EndedJobRetention = orDefault(l.EndedJobRetention, defaultEndedJobRetention)
+	l.RowBytes = orDefault(l.RowBytes, defaultRowBytes)
+	l.TasksPerRow = orDefault(l.TasksPerRow, defaultTasksPerRow)
 	return l
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -209,10 +209,13 @@
 	if w.suspect() {
 		w.lastProbe = c.now
 	}
-	t.attach(p)
 	j := t.step.job
+	if !j.everStarted {
+		c.markDirty(j, mainRow)
+	}
+	t.attach(p)
 	j.placements.add(p)
-	c.markDirty(j)
+	c.markDirty(j, j.rowOf(t))
 	c.emit(Decision{Kind: "place", Task: p.name(), Run: run, Worker: w.ID, Reason: rankNames[t.step.occurrence.rank], Took: c.waitTime(t)})
 	c.afterStored(func() { c.handlePlacementStored(p) })
 	c.updateJob(j)
--- a/internal/sched/purge.go
+++ b/internal/sched/purge.go
@@ -131,7 +131,9 @@
 	delete(c.jobs, j.ID)
 	c.advice.dropJob(j.ID)
 	c.deleted[j.ID] = deletedJob{version: e.Version, at: c.now}
-	c.obsoleteRows.add(StateKey(j.ID))
+	for _, key := range j.stateKeys() {
+		c.obsoleteRows.add(key)
+	}
 }
 
 // handleDeletionFailed makes a deletion that failed wait for the next search.
--- a/internal/sched/purge_test.go
+++ b/internal/sched/purge_test.go
@@ -80,7 +80,7 @@
 	})
 	It("are deleted by the next owner if only one is left", func() {
 		endJob(work.Done)
-		s.core = sched.New(sched.Limits{}, 2, s.now, 0, sched.StoredRows{Orphans: []string{id}}, s.config)
+		s.core = sched.New(sched.Limits{}, 2, s.now, 0, sched.StoredRows{Orphans: []string{sched.StateKey(id)}}, s.config)
 		s.advance(time.Second)
 		Expect(s.stateRows).NotTo(HaveKey(id))
 	})
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -222,6 +222,7 @@
 		}
 		x.succeed()
 		x.checkpoint = ""
+		c.markDirty(x.step.job, x.step.job.rowOf(x))
 		for _, q := range slices.Clone(x.placements) {
 			c.stop(q, "copy")
 		}
@@ -229,7 +230,6 @@
 	if t.step.unfinished == 0 {
 		c.noteStepDone(t.step)
 	}
-	c.markDirty(t.step.job)
 	c.updateJob(t.step.job)
 }
 
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -6,24 +6,12 @@
 	"lagoonrack/internal/work"
 )
 
-// state returns the job's progress in its stored form.
-func (j *job) state() work.State {
-	st := work.State{Failed: j.failed, Ended: j.endedAt, Past: j.past, Complete: j.complete}
-	for _, o := range j.openOccurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if t.lastRun > 0 || t.done {
-					st.Tasks = append(st.Tasks, t.state())
-				}
-			}
-		}
-	}
-	return st
-}
-
 // state returns the task's progress in its stored form.
 func (t *task) state() work.TaskState {
-	s := work.TaskState{K: t.step.occurrenceNumber, Step: t.step.index, Index: t.index, Run: t.lastRun, Done: t.done, Fails: t.failures, Saved: t.checkpoint}
+	s := work.TaskState{K: t.step.occurrenceNumber, Step: t.step.index, Index: t.index, Run: t.lastRun, Done: t.done, Fails: t.failures}
+	if len(t.checkpoint) <= t.step.job.maxCheckpoint {
+		s.Saved = t.checkpoint
+	}
 	for _, p := range t.placements {
 		s.Places = append(s.Places, work.RunState{Run: p.run, Life: p.worker.Life, Agent: p.worker.agent})
 	}
@@ -31,19 +19,23 @@
 }
 
 // loadJob restores a job from its rows.
-func (c *Core) loadJob(spec work.Job, st work.State, version uint64) {
+func (c *Core) loadJob(spec work.Job, stored Progress, version uint64) {
 	j := c.addJob(spec)
 	j.rowVersion = version
+	j.load(stored)
+	st := stored.State
 	j.past, j.failed, j.endedAt = st.Past, st.Failed, st.Ended
-	for _, ts := range st.Tasks {
-		t := j.task(work.TaskID{Job: j.ID, K: ts.K, Step: ts.Step, Index: ts.Index}, c.now)
-		if t == nil {
-			continue
+	j.everStarted, j.startConfirmed = st.Started, st.Started
+	for _, tasks := range [][]work.TaskState{st.Tasks, stored.Pages} {
+		for _, ts := range tasks {
+			if t := j.task(work.TaskID{Job: j.ID, K: ts.K, Step: ts.Step, Index: ts.Index}, c.now); t != nil {
+				c.restoreTask(t, ts)
+			}
 		}
-		c.restoreTask(t, ts)
 	}
 	j.complete = st.Complete
 	c.updateJob(j)
+	c.dropPastPages(j)
 	j.visibleState = j.currentState()
 	j.endStored = st.Ended > 0
 }
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -37,7 +37,10 @@
 	adviceRequests []sched.AskAdvisor
 	// challenge is the Challenge of the newest reply to a report, or 0.
 	challenge uint64
-	// stateRows holds the stored state of each job.
+	// limits are those of the owner, and term is how often it was replaced.
+	limits sched.Limits
+	term   uint64
+	// stateRows holds the rows with the progress of jobs, by the names in their keys.
 	stateRows map[string][]byte
 	// clockOffset is how far each worker's wall clock is ahead of the true time.
 	clockOffset map[*testWorker]time.Duration
@@ -49,6 +52,8 @@
 	// storeDown says that commits are not answered; they wait in waitingCommits.
 	storeDown      bool
 	waitingCommits []sched.Commit
+	// commits counts the transactions, and storedBytes their values.
+	commits, storedBytes int
 	// version is that of the newest row.
 	version uint64
 	// learnedRows holds the stored rows with what was learned.
@@ -90,8 +95,13 @@
 
 // newTestCell returns a cell with one worker for each of the sizes, in cores.
 func newTestCell(queues []work.Queue, sizes ...int64) *testCell {
-	s := &testCell{config: &work.Config{Version: 1, Queues: queues}, stateRows: map[string][]byte{}, learnedRows: map[string][]byte{}, clockOffset: map[*testWorker]time.Duration{}}
-	s.core = sched.New(sched.Limits{}, 1, 0, 0, sched.StoredRows{}, s.config)
+	return newLimitedCell(sched.Limits{}, queues, sizes...)
+}
+
+// newLimitedCell returns a cell whose owner has the given limits.
+func newLimitedCell(limits sched.Limits, queues []work.Queue, sizes ...int64) *testCell {
+	s := &testCell{limits: limits, config: &work.Config{Version: 1, Queues: queues}, stateRows: map[string][]byte{}, learnedRows: map[string][]byte{}, clockOffset: map[*testWorker]time.Duration{}}
+	s.core = sched.New(limits, 1, 0, 0, sched.StoredRows{}, s.config)
 	for i, n := range sizes {
 		s.workers = append(s.workers, &testWorker{
 			Worker: work.Worker{
@@ -188,10 +198,16 @@
 
 // commit stores the writes of a transaction.
 func (s *testCell) commit(f sched.Commit) {
-	if err := checkLimits(f, maxRowBytes); err != nil {
+	rowBytes := maxRowBytes
+	if s.limits.RowBytes > 0 {
+		rowBytes = s.limits.RowBytes
+	}
+	if err := checkLimits(f, rowBytes); err != nil {
 		panic(err)
 	}
+	s.commits++
 	for _, w := range f.Writes {
+		s.storedBytes += len(w.Value)
 		if sched.IsLearned(w.Key) {
 			if s.learnedRows[w.Key] = w.Value; w.Value == nil {
 				delete(s.learnedRows, w.Key)
@@ -206,6 +222,17 @@
 	s.step(sched.Committed{Seq: f.Seq})
 }
 
+// replaceOwner starts a new owner from the stored progress of the given jobs.
+func (s *testCell) replaceOwner(jobs ...work.Job) {
+	var rows []plat.Row
+	for name, data := range s.stateRows {
+		rows = append(rows, plat.Row{Key: sched.StateKey(name), Value: data})
+	}
+	progress, unknown := sched.ReadProgress(rows, func(key string, err error) { panic(fmt.Sprint(key, err)) })
+	s.term++
+	s.core = sched.New(s.limits, 1+s.term, s.now, 0, sched.StoredRows{Jobs: jobs, Progress: progress, Barred: unknown, Learned: s.learnedRows}, s.config)
+}
+
 // setStoreDown stops or resumes the answers to commits.
 func (s *testCell) setStoreDown(down bool) {
 	s.storeDown = down
--- a/internal/sched/started_test.go
+++ b/internal/sched/started_test.go
@@ -46,9 +46,7 @@
 		job := work.Job{ID: "j", Queue: "serve", Service: "s", Spec: "x", Steps: []work.Step{latencyStep(2, 1)}}
 		s.step(sched.Submit{Job: job})
 		s.advance(time.Second)
-		var st work.State
-		Expect(work.Decode(s.stateRows["j"], &st)).To(Succeed())
-		s.core = sched.New(sched.Limits{}, 2, s.now, 0, sched.StoredRows{Jobs: []work.Job{job}, States: map[string]work.State{"j": st}}, s.config)
+		s.replaceOwner(job)
 		s.decisions = nil
 		s.advance(2 * time.Second)
 		Expect(started(s)).To(BeEmpty())
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -239,7 +239,7 @@
 		// Best-effort tasks of a job of which nothing runs may have to start at once.
 		c.changes.addJob(j)
 	}
-	c.markDirty(j)
+	c.markDirty(j, j.rowOf(p.task))
 }
 
 // requeue records that a task may need a placement again.
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -2,7 +2,8 @@
 
 import "github.com/fxamacker/cbor/v2"
 
-// State is the stored record of a job's progress. Each write replaces it as a whole.
+// State is the content of a row with the progress of a job. Each write replaces the row as a
+// whole. A row with a part of the tasks has only Tasks.
 type State struct {
 	// Failed says that a task reached the queue's limit of failed runs.
 	Failed bool `cbor:"1,keyasint,omitempty"`
@@ -15,6 +16,9 @@
 	Complete bool `cbor:"5,keyasint,omitempty"`
 	// Tasks lists the tasks of the occurrences after Past that were ever started.
 	Tasks []TaskState `cbor:"4,keyasint,omitempty"`
+	// Started says that some task was ever started. It is set if Tasks is kept in other
+	// rows.
+	Started bool `cbor:"6,keyasint,omitempty"`
 }
 
 // TaskState is the stored record of one task's progress.
