sched, front, leader: a job that is too large for one row is stored in parts

Seen by callers: a job of 1,500 steps, within the largest body that the operator allows, was answered 503 each time, and the entry took the store for unavailable meanwhile. Cause: the row that accepts a job holds all of it and has no bound but that of the body. Change: a job above half of what a row may hold is written in parts, in the same transaction as the row that accepts it, which says how many there are. Owners read them when they load the state and when the feed names the job; if the store fails then, the row is read again. The parts are deleted with the job.

--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -56,7 +56,7 @@
 		return f.reject(j, "invalid", 0, err)
 	}
 	j.At = f.storeClock()
-	data, err := work.Encode(j)
+	j, writes, err := sched.EncodeJob(j, f.Limits)
 	if err != nil {
 		return f.reject(j, "invalid", 0, err)
 	}
@@ -67,7 +67,7 @@
 		return f.storeRejection(ctx, j, "busy", busyRetryAfter(lag))
 	}
 	began := f.Clock.Now()
-	out := f.write(ctx, sched.JobKey(j.ID), data, isRejected)
+	out := f.writeAll(ctx, writes, isRejected)
 	took := f.Clock.Now() - began
 	switch out.Status {
 	case Stored, Written:
--- a/internal/front/write.go
+++ b/internal/front/write.go
@@ -27,19 +27,25 @@
 // until the outcome is known or the caller's context ends. The status is Written if the
 // row holds the value, and Stored if the row holds another value that must stay.
 func (f *Front) write(ctx context.Context, key string, value []byte, mayReplace func(plat.Row) bool) Outcome {
+	return f.writeAll(ctx, []plat.Write{{Key: key, Value: value}}, mayReplace)
+}
+
+// writeAll is write for a row, the first one, with further rows that belong to it.
+func (f *Front) writeAll(ctx context.Context, writes []plat.Write, mayReplace func(plat.Row) bool) Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := rowWrite{front: f, key: key, value: value, mayReplace: mayReplace, startedAt: f.Clock.Now(), nextDelay: firstRetryDelay, results: make(chan result)}
+	w := rowWrite{front: f, Write: writes[0], writes: writes, mayReplace: mayReplace, startedAt: f.Clock.Now(), nextDelay: firstRetryDelay, results: make(chan result)}
 	return w.run(ctx)
 }
 
-// rowWrite is the write of one row. The result of a late try still counts while the
+// rowWrite is the write of one row, with those that belong to it. The result of a late try still counts while the
 // next try is in progress. At most one try can take effect, since each checks the
 // version that it replaces.
 type rowWrite struct {
-	front      *Front
-	key        string
-	value      []byte
+	front *Front
+	plat.Write
+	// writes holds the write of the row and of those that belong to it.
+	writes     []plat.Write
 	mayReplace func(plat.Row) bool
 	startedAt  time.Duration
 	// delay is the wait before the next try, and nextDelay the wait after the next
@@ -117,12 +123,12 @@
 func (w *rowWrite) try(ctx context.Context, version uint64) result {
 	var r result
 	r.stamp, r.err = w.front.commit(ctx, plat.Txn{
-		Checks: []plat.Check{{Key: w.key, Version: version}},
-		Writes: []plat.Write{{Key: w.key, Value: w.value}},
+		Checks: []plat.Check{{Key: w.Key, Version: version}},
+		Writes: w.writes,
 	})
 	if errors.Is(r.err, plat.ErrConflict) {
 		r.conflicted = true
-		r.row, r.err = w.front.read(ctx, w.key)
+		r.row, r.err = w.front.read(ctx, w.Key)
 	}
 	return r
 }
@@ -137,7 +143,7 @@
 	case r.err == nil && !r.conflicted:
 		w.front.recordStoreClock(r.stamp)
 		return Outcome{Status: Written}, true
-	case r.err == nil && r.row.Version != 0 && bytes.Equal(r.row.Value, w.value):
+	case r.err == nil && r.row.Version != 0 && bytes.Equal(r.row.Value, w.Value):
 		return Outcome{Status: Written}, true
 	case r.err == nil && r.row.Version != 0 && !w.mayReplace(r.row):
 		return Outcome{Status: Stored}, true
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"lagoonrack/internal/clock"
@@ -130,7 +131,9 @@
 	}
 	l.step(t, sched.RowsDeleted{Job: f.Job, Version: s.Version})
 	if row.Version > 0 {
-		l.handleJobRow(t, row)
+		if err := l.handleJobRow(t, row); err != nil {
+			l.storeFailed("forget", err)
+		}
 	}
 }
 
@@ -300,29 +303,45 @@
 		return
 	}
 	for _, r := range rows {
-		l.handleJobRow(t, r)
+		if err := l.handleJobRow(t, r); err != nil {
+			l.storeFailed("follow jobs", err)
+			return
+		}
 	}
 	t.feedVersion = s.Version
 }
 
+// errPartUnread means that a part of a job could not be read.
+var errPartUnread = errors.New("a part of the job can't be read")
+
 // handleJobRow passes a row of the job table to the core: a job, its rejection or
-// its cancellation.
-func (l *Leader) handleJobRow(t *term, r plat.Row) {
+// its cancellation. It returns an error if the row has to be read again.
+func (l *Leader) handleJobRow(t *term, r plat.Row) error {
 	if r.Value == nil {
-		return
+		return nil
 	}
 	if id, ok := sched.CancelledJob(r.Key); ok {
 		l.step(t, sched.Cancel{ID: id})
-		return
+		return nil
 	}
-	j, err := decodeJob(r)
-	if err != nil {
+	j, err := sched.DecodeJob(r, func(key string) ([]byte, error) {
+		ctx, cancel := l.withTimeout(t.ctx)
+		defer cancel()
+		part, _, err := l.Rows.Read(ctx, key)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", errPartUnread, err)
+		}
+		return part.Value, nil
+	})
+	switch {
+	case errors.Is(err, errPartUnread):
+		return err
+	case err != nil:
 		l.skipRow(r.Key, err)
-		return
-	}
-	if j.Refused {
+	case j.Refused:
 		l.step(t, sched.RejectedJob{ID: j.ID, Version: r.Version, At: j.At})
-		return
+	default:
+		l.step(t, sched.Submit{Job: j, Version: r.Version})
 	}
-	l.step(t, sched.Submit{Job: j, Version: r.Version})
+	return nil
 }
--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"time"
 
@@ -90,6 +89,10 @@
 	if err != nil {
 		return found, stamp, err
 	}
+	readPart, err := readParts(ctx, rows, jobs)
+	if err != nil {
+		return found, stamp, err
+	}
 	known := map[string]bool{}
 	for _, r := range jobs {
 		known[r.Key] = true
@@ -97,7 +100,7 @@
 			found.Cancels = append(found.Cancels, id)
 			continue
 		}
-		j, err := decodeJob(r)
+		j, err := sched.DecodeJob(r, readPart)
 		if err != nil {
 			skip(r.Key, err)
 			continue
@@ -121,19 +124,23 @@
 	return found, stamp, nil
 }
 
-// decodeJob decodes a row of the job table that is not a cancellation.
-func decodeJob(r plat.Row) (work.Job, error) {
-	var j work.Job
-	if err := work.Decode(r.Value, &j); err != nil {
-		return j, err
+// readParts lists the parts of jobs if one of the rows of the job table has parts, and returns
+// how to read them.
+func readParts(ctx context.Context, rows plat.Rows, jobs []plat.Row) (func(key string) ([]byte, error), error) {
+	found := map[string][]byte{}
+	read := func(key string) ([]byte, error) { return found[key], nil }
+	hasParts := func(r plat.Row) bool {
+		var j work.Job
+		return work.Decode(r.Value, &j) == nil && j.Parts > 0
 	}
-	if r.Key != sched.JobKey(j.ID) {
-		return j, fmt.Errorf("the row is of job %q", j.ID)
+	if !slices.ContainsFunc(jobs, hasParts) {
+		return read, nil
 	}
-	if j.Refused {
-		return j, nil
+	parts, _, err := rows.List(ctx, sched.PartTable)
+	for _, r := range parts {
+		found[r.Key] = r.Value
 	}
-	return j, j.Check()
+	return read, err
 }
 
 // callTimeout bounds one call of the store while the store is not known to be slow.
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -44,6 +44,9 @@
 // leaves some for the checks and for what was learned.
 const rowsPerCommit = 90
 
+// maxTxnEntries is the number of checks and writes that the platform allows in a transaction.
+const maxTxnEntries = 100
+
 // bytesPerCommit bounds the size of one transaction, and bytesPerSlowCommit the same over
 // a slow link, where it takes a tenth of a second.
 const (
--- a/internal/sched/purge.go
+++ b/internal/sched/purge.go
@@ -110,6 +110,9 @@
 	if j.cancelStored {
 		e.Keys = append(e.Keys, CancelKey(j.ID))
 	}
+	for part := range j.Parts {
+		e.Keys = append(e.Keys, PartKey(j.ID, part+1))
+	}
 	if j.rowVersion > 0 {
 		e.Checks = []plat.Check{{Key: JobKey(j.ID), Version: j.rowVersion}}
 	}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -37,6 +37,8 @@
 	// delayed writes that would still accept it; only a new submission replaces
 	// it.
 	Refused bool `cbor:"10,keyasint,omitempty"`
+	// Parts is the number of further rows that hold the job, or 0 if its own row does.
+	Parts int `cbor:"11,keyasint,omitempty"`
 }
 
 // LongRunning reports whether the job's tasks run until the job is cancelled.
