leader, inbox: rows of the feed wait for room in the owner's queue

Cause: the queue drops hints of jobs and cancellations beyond 1,000 because they are read from the feed; but what the feed reads went through the same queue, was dropped too, and the feed went on from the version of that read. Change: the reader of the feed waits for room. Hints of entries are dropped as before.

--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -5,7 +5,7 @@
 // that a scheduling pass costs once for the batch. The queue is bounded while the core
 // is behind: an agent has at most one report in the queue, the newest; there is at most
 // one tick; and hints of new or cancelled jobs beyond a limit are dropped, since they are
-// in the store and are read again from its feed. Outcomes of orders and of commits are
+// in the store and are read from its feed, whose reader waits for room. Outcomes of orders and of commits are
 // never dropped; there are at most as many as orders and commits in progress.
 //
 // In a batch, what frees capacity or prolongs leases comes before what asks for more.
@@ -78,7 +78,7 @@
 		}
 		b.ticking = true
 	case sched.Submit, sched.Cancel:
-		if len(b.classes[class]) >= maxHints {
+		if b.Full(e) {
 			b.dropped++
 			return 0, false
 		}
@@ -87,6 +87,10 @@
 	return 0, false
 }
 
+// Full reports whether there is no room for a hint of a job. Who reads the hints from the
+// store, and does not read them again, has to wait then.
+func (b *Inbox) Full(e sched.Event) bool { return len(b.classes[classOf(e)]) >= maxHints }
+
 // addReport adds a report, in place of an older one of the same agent.
 func (b *Inbox) addReport(now time.Duration, r sched.Report) (replaced uint64, ok bool) {
 	waiting := b.classes[classReport]
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -315,13 +315,14 @@
 var errPartUnread = errors.New("a part of the job can't be read")
 
 // handleJobRow passes a row of the job table to the core: a job, its rejection or
-// its cancellation. It returns an error if the row has to be read again.
+// its cancellation. It waits until the core has room for it, since the row is not read again,
+// and returns an error if it has to be.
 func (l *Leader) handleJobRow(t *term, r plat.Row) error {
 	if r.Value == nil {
 		return nil
 	}
 	if id, ok := sched.CancelledJob(r.Key); ok {
-		l.step(t, sched.Cancel{ID: id})
+		t.addWhenRoom(l.Clock.Now, sched.Cancel{ID: id})
 		return nil
 	}
 	j, err := sched.DecodeJob(r, func(key string) ([]byte, error) {
@@ -339,9 +340,9 @@
 	case err != nil:
 		l.skipRow(r.Key, err)
 	case j.Refused:
-		l.step(t, sched.RejectedJob{ID: j.ID, Version: r.Version, At: j.At})
+		t.addWhenRoom(l.Clock.Now, sched.RejectedJob{ID: j.ID, Version: r.Version, At: j.At})
 	default:
-		l.step(t, sched.Submit{Job: j, Version: r.Version})
+		t.addWhenRoom(l.Clock.Now, sched.Submit{Job: j, Version: r.Version})
 	}
 	return nil
 }
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"lagoonrack/internal/clock"
 	"lagoonrack/internal/guard"
 	"lagoonrack/internal/inbox"
 	"lagoonrack/internal/logs"
@@ -88,6 +89,30 @@
 	}
 }
 
+// roomPause is the wait between two looks whether the queue has room.
+const roomPause = 5 * time.Millisecond
+
+// addWhenRoom queues an event that was read from the store once there is room for it, unless
+// the term ends before.
+func (t *term) addWhenRoom(now func() time.Duration, e sched.Event) {
+	for t.ctx.Err() == nil {
+		t.inboxMu.Lock()
+		full := t.inbox.Full(e)
+		if !full {
+			t.inbox.Add(now(), e)
+		}
+		t.inboxMu.Unlock()
+		if !full {
+			break
+		}
+		clock.Sleep(t.ctx, roomPause)
+	}
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
 // reply answers a report that still waits.
 func (t *term) reply(token uint64, r work.Reply) {
 	t.repliesMu.Lock()
