--- a/internal/sched/store_test.go
+++ b/internal/sched/store_test.go
@@ -18,7 +18,7 @@
 	// maxRowBytes bounds the value of a row, and maxTxnBytes a transaction as it is sent,
 	// with its values in base64.
 	maxRowBytes = 64 << 10
-	maxTxnBytes = 1 << 20
+	maxTxnBytes = 1_000_000
 	// maxTxnEntries bounds the checks and writes of a transaction. The owner adds
 	// ownEntries to each commit: two checks and the commit mark.
 	maxTxnEntries = 100
