sched: runs of the chaos tests resume from their checkpoints

Cause: the model, not the scheduler. The trace shows a best-effort task with checkpoints that is moved ten times as starved, since the model's best-effort runs report no processor time in use, and that drew a length of 884 to 982 ms each time, of 100 to 999, so that it was stopped just before its end. Change: the end of a stopped run has a checkpoint with the work that is left, and a start that carries it takes that long. A start with a checkpoint of another task or gang is a failure, a check that was missing.

--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -535,12 +536,42 @@
 	if w.speculative && !st.Lasts && w.rng.IntN(4) == 0 {
 		duration *= 6
 	}
+	if s.Saved != "" {
+		duration = w.workLeft(s)
+	}
 	r.runs[s.Run] = &workerRun{startedAt: w.now, endsAt: w.now + duration, fails: w.chance(0.15), checkpoint: s.Saved}
 	w.taskHistory(s.Task).live[r] = s.Num
 	w.logf("start %s run %d on %s by term %d", s.Task, s.Num, r.id, o.Term)
 	return work.Started
 }
 
+// checkpointOf returns the checkpoint of a run that is stopped now, which names whose it is
+// and the work that is left. Without it, a run that is moved again and again would never end,
+// which workers prevent by their checkpoints.
+func (w *world) checkpointOf(s work.Run, x *workerRun) string {
+	return fmt.Sprintf("%s/%d", w.checkpointOwner(s), max(0, x.endsAt-w.now))
+}
+
+// checkpointOwner returns whose checkpoints a run can resume from: those of its task, or of
+// all members of its gang.
+func (w *world) checkpointOwner(s work.Run) string {
+	id, _ := work.ParseTaskName(s.Task)
+	if w.jobs[id.Job].Steps[id.Step].Gang {
+		return work.StepName(id.Job, id.K, id.Step)
+	}
+	return s.Task
+}
+
+// workLeft returns how long a run takes that resumes from a checkpoint.
+func (w *world) workLeft(s work.Start) time.Duration {
+	of, left, _ := strings.Cut(s.Saved, "/")
+	n, err := strconv.ParseInt(left, 10, 64)
+	if of != w.checkpointOwner(s.Run) || err != nil {
+		w.fail("%s run %d resumes from %q, which is not its checkpoint", s.Task, s.Num, s.Saved)
+	}
+	return time.Duration(n)
+}
+
 // copyGrace is how long after an acknowledged end a speculative copy may still start:
 // the order to start it may have been sent before the owner received the end.
 const copyGrace = time.Second
@@ -597,6 +628,10 @@
 
 // endRun ends a run on a worker.
 func (w *world) endRun(r *node, s work.Run, how work.EndReason) {
+	saved := ""
+	if id, _ := work.ParseTaskName(s.Task); how == work.Stopped && w.jobs[id.Job].Steps[id.Step].Saves {
+		saved = w.checkpointOf(s, r.runs[s])
+	}
 	delete(r.runs, s)
 	h := w.taskHistory(s.Task)
 	delete(h.live, r)
@@ -609,7 +644,7 @@
 		h.failures++
 	}
 	r.lastEnd++
-	r.ends = append(r.ends, work.End{N: r.lastEnd, Run: s, How: how})
+	r.ends = append(r.ends, work.End{N: r.lastEnd, Run: s, How: how, Saved: saved})
 	w.logf("end %s run %d on %s: %s", s.Task, s.Num, r.id, how)
 }
 
