leader: the test of the feed's rows reads the queue under its lock

Cause: the test took no lock, and did not wait for the end of the read before it looked at the version that the read leaves. The product's own reads hold the lock. Change: the test takes the lock and waits.

--- a/internal/leader/feed_test.go
+++ b/internal/leader/feed_test.go
@@ -46,9 +46,16 @@
 				l, tm := newOwner(t)
 				l.Rows = source
 				release := block(l, tm)
-				tm.loops.Go(func() { l.readFeed(tm) })
+				read := make(chan struct{})
+				tm.loops.Go(func() {
+					defer close(read)
+					l.readFeed(tm)
+				})
 				time.Sleep(time.Second)
-				g.Expect(tm.inbox.Len()).To(BeNumerically("<", jobs), "the queue stays bounded")
+				tm.inboxMu.Lock()
+				waiting := tm.inbox.Len()
+				tm.inboxMu.Unlock()
+				g.Expect(waiting).To(BeNumerically("<", jobs), "the queue stays bounded")
 				release()
 				for range 200 {
 					if len(tm.commits) > 0 {
@@ -57,6 +64,7 @@
 					}
 					time.Sleep(100 * time.Millisecond)
 				}
+				<-read
 				tm.mu.Lock()
 				defer tm.mu.Unlock()
 				for i := range jobs {
