sched, runner: the log says why a run at work had been released

The decision now has the reason for which the run's placement was released and how long ago; `cut` says what was left of the lease, `lost` how old the last report was.

--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -134,7 +134,11 @@
 func (r *Runner) handleLeaseReply(ctx context.Context, request plat.LeaseRequest, reply plat.LeaseReply, sent time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if request.Life != r.worker.Life || reply.Born != 0 && reply.Born != r.worker.Born {
+	if request.Life != r.worker.Life {
+		return false
+	}
+	if reply.Born != 0 && reply.Born != r.worker.Born {
+		r.noteOtherIncarnation(reply)
 		return false
 	}
 	now := r.Clock.Now()
@@ -160,6 +164,17 @@
 	return len(r.ends) > 0
 }
 
+// noteOtherIncarnation logs, once for each, that another incarnation answers under the
+// worker's ID. Runs that it has were started by orders for the incarnation before.
+func (r *Runner) noteOtherIncarnation(reply plat.LeaseReply) {
+	if r.otherBorn == reply.Born {
+		return
+	}
+	r.otherBorn = reply.Born
+	r.Tally.Inc("lagoon_other_incarnations_total")
+	r.Log.Info(logs.OtherIncarnation, logs.Fields{"worker": r.worker.ID, "born": r.worker.Born, "answers": reply.Born, "runs": len(reply.Running)})
+}
+
 // unstoredEnds returns the ends with numbers above stored, in order.
 func unstoredEnds(ends []work.End, stored int64) []work.End {
 	out := slices.DeleteFunc(slices.Clone(ends), func(e work.End) bool { return e.N <= stored })
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,7 +56,10 @@
 	// workerEnded says that the worker has deregistered or that another incarnation
 	// answers at its address.
 	workerEnded bool
-	lease       lease
+	// otherBorn is the birth of the incarnation that answered last under the worker's ID
+	// and that has not announced itself, or 0.
+	otherBorn int64
+	lease     lease
 	// term is the highest term that is known. owner is the address to which reports
 	// are sent: that of the owner, of an entry that may know it, or "".
 	term  uint64
@@ -203,7 +206,7 @@
 // called with the mutex held, or before Start.
 func (r *Runner) reset(w work.Worker) {
 	r.worker = w
-	r.workerEnded = false
+	r.workerEnded, r.otherBorn = false, 0
 	r.lease = lease{limits: r.Limits}
 	r.storedEnd, r.reportedEnd = 0, 0
 	r.running, r.ends, r.moreEnds = nil, nil, false
@@ -245,12 +248,16 @@
 // Deregistered records that the worker ends. It first asks the worker for its last list of
 // ends: a run may have ended since the last lease request, and no one learns of that later.
 func (r *Runner) Deregistered(id string) {
-	r.readLastEnds(id)
+	answered := r.readLastEnds(id)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.worker.ID == id && !r.workerEnded {
 		r.workerEnded = true
-		r.Log.Info(logs.WorkerEnded, logs.Fields{"worker": id})
+		fields := logs.Fields{"worker": id, "runs": len(r.running), "answered": answered}
+		if r.listed {
+			fields["age"] = (r.Clock.Now() - r.listRequestedAt).Milliseconds()
+		}
+		r.Log.Info(logs.WorkerEnded, fields)
 		signal(r.reportNow)
 	}
 }
@@ -265,23 +272,29 @@
 
 // readLastEnds reads the list of runs and ends of a worker that is about to end. If the
 // worker has more ends than one list holds, it reads on when the owner has stored the first.
-func (r *Runner) readLastEnds(id string) {
+// It reports whether the worker answered.
+func (r *Runner) readLastEnds(id string) (answered bool) {
 	ctx, cancel := context.WithTimeout(r.ctx, lastListsTimeout)
 	defer cancel()
-	for r.readEnds(ctx, id) && ctx.Err() == nil {
+	for {
+		ok, more := r.readEnds(ctx, id)
+		answered = answered || ok
+		if !more || ctx.Err() != nil {
+			return answered
+		}
 		r.awaitEndsStored(ctx)
 	}
 }
 
 // readEnds reads the list of runs and ends of a worker once, and reports whether the worker
-// has more ends.
-func (r *Runner) readEnds(ctx context.Context, id string) bool {
+// answered and whether it has more ends.
+func (r *Runner) readEnds(ctx context.Context, id string) (answered, more bool) {
 	r.mu.Lock()
 	request := plat.LeaseRequest{Life: r.worker.Life, Term: r.term, Seen: r.storedEnd}
 	current := r.worker.ID == id && !r.workerEnded
 	r.mu.Unlock()
 	if !current {
-		return false
+		return false, false
 	}
 	c, cancel := context.WithTimeout(ctx, lastListTimeout)
 	defer cancel()
@@ -289,10 +302,10 @@
 	reply, err := r.Runtime.Hold(c, request)
 	if err != nil {
 		r.Log.Info(logs.PeerLost, logs.Fields{"worker": id, "step": "read last ends", "error": err.Error()})
-		return false
+		return false, false
 	}
 	r.handleLeaseReply(ctx, request, reply, sent)
-	return reply.MoreEnds
+	return true, reply.MoreEnds
 }
 
 // signal wakes the receiver of a channel with a buffer of one, now or at its next
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -101,6 +101,8 @@
 	learned      learned
 	// listCount numbers the lists of runs that were handled.
 	listCount uint64
+	// released records the runs that were released without a listed end.
+	released releasedRuns
 	// challengeCount is the number of challenges issued in this term.
 	challengeCount uint64
 	// admission decides, by service, whether long-running jobs are accepted, and
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -80,7 +80,7 @@
 		c.releaseAll(w, "gone")
 	case e.Cut:
 		if !w.unresponsive {
-			c.emit(Decision{Kind: "cut", Worker: w.ID, Reason: "no answer"})
+			c.emit(Decision{Kind: "cut", Worker: w.ID, Reason: "no answer", Took: time.Duration(e.Left) * time.Millisecond})
 		}
 		w.unresponsive = true
 		w.leaseEnd = min(w.leaseEnd, c.now+maxOwnerTime(time.Duration(e.Left)*time.Millisecond)+messageMargin)
@@ -342,6 +342,7 @@
 // releaseVanished releases a placement whose run is over without a reported end.
 func (c *Core) releaseVanished(p *placement, reason string) {
 	c.emit(Decision{Kind: "vanish", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: reason})
+	c.released.add(p, reason, c.now)
 	if p.checkpoint != "" {
 		p.task.checkpoint = p.checkpoint
 	}
@@ -366,7 +367,11 @@
 // stopUnknownRun stops a run without a placement: the placement was released, or an
 // owner ordered the run whose transaction was not applied.
 func (c *Core) stopUnknownRun(w *worker, r work.Run) {
-	c.emit(Decision{Kind: "stray", Task: r.Task, Run: r.Num, Worker: w.ID})
+	stray := Decision{Kind: "stray", Task: r.Task, Run: r.Num, Worker: w.ID}
+	if x, ok := c.released.find(w.Life, r); ok {
+		stray.Reason, stray.Took = x.reason, c.now-x.at
+	}
+	c.emit(stray)
 	o := c.orderFor(w)
 	o.Stops = append(o.Stops, r)
 }
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -63,6 +63,7 @@
 		c.advice.dropTicket(p)
 	}
 	if !p.multipleOrders {
+		c.released.add(p, string(code), c.now)
 		c.release(p)
 		return
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -253,7 +253,7 @@
 // releaseAll removes all placements of an incarnation that has ended.
 func (c *Core) releaseAll(w *worker, reason string) {
 	if w.placements.len() > 0 {
-		c.emit(Decision{Kind: "lost", Worker: w.ID, Reason: reason})
+		c.emit(Decision{Kind: "lost", Worker: w.ID, Reason: reason, Took: c.now - w.lastReport})
 	}
 	for _, p := range w.placements.sorted() {
 		c.releaseVanished(p, reason)
--- a/internal/tally/catalogue.go
+++ b/internal/tally/catalogue.go
@@ -38,6 +38,7 @@
 		{"lagoon_minion_errors_total", "counter", "", "agent", "Calls to a minion that failed."},
 		{"lagoon_order_refusals_total", "counter", "reason", "agent", "Orders of an owner that were rejected."},
 		{"lagoon_orders_lost_total", "counter", "", "entry", "Orders to agents that got no answer; they are sent again."},
+		{"lagoon_other_incarnations_total", "counter", "", "agent", "Incarnations of the worker that answered under its ID before they had announced themselves."},
 		{"lagoon_owned_term", "gauge", "", "entry", "Term in which the entry owns the cell, or 0."},
 		{"lagoon_owner_lag_seconds", "gauge", "", "entry", "How long the oldest event that the owner has not handled has waited; 0 at other entries."},
 		{"lagoon_owner_silent_seconds", "gauge", "", "both", "Time since the last contact with the owner; it grows while there is none, and is 0 at the owner."},
