runner: a worker's farewell is not its end

What callers saw: tasks at work on two workers.

Cause: when its worker said farewell, the agent reported that it was gone, and the owner released all of its runs at once. But the farewell precedes the end: the worker ends after the answer, or some time later if it gets none, and its lease lets its runs go on until then.

Now the farewell only ends the renewal of the lease. The owner learns what is left of it (Cut, Left) and that nothing new may be placed there. Only a proof ends the runs: no process listens at the worker's address any more, or another incarnation answers there. Without one, the lease has to expire. A heartbeat after the farewell takes it back: it was an earlier incarnation's.

--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -49,11 +49,12 @@
 	Fenced               = Event{404, "orders refused", "A worker rejected orders of an owner that has been replaced."}
 	WorkerNew            = Event{405, "worker announced", "A worker began a new incarnation; no run of an earlier incarnation is left."}
 	WorkerDraining       = Event{406, "worker draining", "A worker accepts no new work and will stop; or it accepts work again."}
-	WorkerEnded          = Event{407, "worker ended", "A worker deregistered because it ended. The fields say whether it still answered, and how many runs it had in its newest list, of which age."}
+	WorkerEnded          = Event{407, "worker ended", "A worker has ended. The fields name the proof, and how many runs its newest list showed, of which age."}
 	OwnerChanged         = Event{408, "owner changed", "An agent learned which entry owns its cell."}
 	RunThrottled         = Event{409, "run paced", "A best-effort run was throttled, or its throttling was changed or lifted."}
 	StartRefused         = Event{410, "start refused", "A worker did not start a run; the code says why."}
 	OtherIncarnation     = Event{411, "another incarnation answers", "An incarnation of the worker that has not announced itself answers under its ID; runs counts what it has at work."}
+	WorkerFarewell       = Event{412, "worker says farewell", "A worker deregistered. Its lease is not renewed any more; its runs count as at work until it is known to have ended, or its lease has expired. The fields say whether it still answered, and how many runs its newest list showed."}
 	Applied              = Event{501, "settings in force", "The process runs a new version of the settings."}
 	SettingsRejected     = Event{502, "settings refused", "A version of the settings could not be read; the earlier one stays in force."}
 )
@@ -66,7 +67,7 @@
 		Accepted, Rejected, OutcomeUnknown, JobCancelled,
 		Owned, CellLost, Released, Decided, Snapshot, OwnerBehind, OwnerCaughtUp,
 		Quarantine, Restored, WorkerUnresponsive, Fenced,
-		WorkerNew, WorkerDraining, WorkerEnded, OwnerChanged, RunThrottled, StartRefused, OtherIncarnation,
+		WorkerNew, WorkerDraining, WorkerEnded, OwnerChanged, RunThrottled, StartRefused, OtherIncarnation, WorkerFarewell,
 		Applied, SettingsRejected,
 	}
 }
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -104,10 +104,7 @@
 		return
 	}
 	r.Tally.Inc("lagoon_worker_errors_total", "step", "hold")
-	if errors.Is(err, plat.ErrNotFound) {
-		// Another incarnation is at the address; its heartbeat will follow.
-		r.workerEnded = true
-		signal(r.reportNow)
+	if r.checkEnded(err); r.workerEnded {
 		return
 	}
 	if errors.Is(err, plat.ErrFenced) {
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -20,6 +20,9 @@
 	// expiry of the lease.
 	mayRenew     bool
 	unresponsive bool
+	// leaving says that the worker has said farewell. The lease is not renewed any more,
+	// so that the owner can rely on its expiry.
+	leaving bool
 	// failingSince is the time of the first of the lease requests in a row that
 	// failed, or 0 if the last one was answered.
 	failingSince time.Duration
@@ -68,7 +71,7 @@
 // renewUntil returns the expiry to request for the lease, by the worker's clock, or
 // 0 if the lease must not be renewed.
 func (l *lease) renewUntil(now time.Duration) time.Duration {
-	if !l.synced || !l.mayRenew || l.unresponsive || !l.ownerContactRecent(now) {
+	if !l.synced || !l.mayRenew || l.unresponsive || l.leaving || !l.ownerContactRecent(now) {
 		return 0
 	}
 	u := l.minWorkerClock(now) + l.limits.Lease
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -128,7 +128,7 @@
 	now := r.Clock.Now()
 	_, stopped := r.stoppedAt[s.Run]
 	switch until := r.lease.renewUntil(now); {
-	case r.worker.Leaving:
+	case r.worker.Leaving || r.lease.leaving:
 		start.code = work.Leaving
 		close(start.done)
 	case stopped || until == 0 || !r.lease.orderRecent(now, o.Word, r.Clock.StartUnixMilli()):
@@ -207,7 +207,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, stopped := r.stoppedAt[s.Run]
-	return !stopped && s.Term == r.term && s.Life == r.worker.Life && !r.worker.Leaving && r.lease.ownerContactRecent(r.Clock.Now())
+	return !stopped && s.Term == r.term && s.Life == r.worker.Life && !r.worker.Leaving && !r.lease.leaving && r.lease.ownerContactRecent(r.Clock.Now())
 }
 
 // cancelStart stops a run that may have started or may still start. A worker that
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -84,11 +84,14 @@
 		Name:   r.Name,
 		Worker: r.worker,
 		Ends:   r.ends,
-		Cut:    r.lease.unresponsive,
+		Cut:    r.lease.unresponsive || r.lease.leaving,
 		Gone:   r.workerEnded,
 		Unix:   time.Now().UnixMilli(),
 		Word:   work.ReportID{Process: r.Clock.StartUnixMilli(), Sent: now, Echo: r.challenge},
 	}
+	if r.lease.leaving {
+		rep.Worker.Leaving, rep.Worker.Remaining = true, 0
+	}
 	if r.listed && !r.lease.unresponsive && (r.listDue || now-r.listReportedAt >= listInterval) {
 		rep.Listed, rep.Running, rep.Age = true, r.running, (now - r.listRequestedAt).Milliseconds()
 		rep.MoreEnds = r.moreEnds
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -53,8 +54,8 @@
 	// there is none.
 	worker       work.Worker
 	heartbeatSeq int64
-	// workerEnded says that the worker has deregistered or that another incarnation
-	// answers at its address.
+	// workerEnded says that the worker has ended: no process listens at its address after
+	// its farewell, or another incarnation answers there.
 	workerEnded bool
 	// otherBorn is the birth of the incarnation that answered last under the worker's ID
 	// and that has not announced itself, or 0.
@@ -236,30 +237,70 @@
 	case sequence < r.heartbeatSeq:
 		return
 	default:
+		if r.workerEnded {
+			signal(r.workerAnnounced)
+		}
 		if w.Leaving != r.worker.Leaving {
 			r.Log.Info(logs.WorkerDraining, logs.Fields{"worker": w.ID, "left": w.Remaining})
 			signal(r.reportNow)
 		}
 		r.worker, r.heartbeatSeq = w, sequence
-		r.workerEnded = false
+		r.workerEnded, r.lease.leaving = false, false
 	}
 }
 
-// Deregistered records that the worker ends. It first asks the worker for its last list of
-// ends: a run may have ended since the last lease request, and no one learns of that later.
+// Deregistered records the worker's farewell. The worker may go on for a while, so its runs
+// are not over: its lease is not renewed any more, and the owner learns what is left of it
+// and, once that is certain, that the worker has ended. The worker is first asked for its
+// last list of ends: a run may have ended since the last lease request, and no one learns of
+// that later.
 func (r *Runner) Deregistered(id string) {
-	answered := r.readLastEnds(id)
+	r.mu.Lock()
+	current := r.worker.ID == id && !r.workerEnded
+	life := r.worker.Life
+	if current {
+		r.lease.leaving = true
+	}
+	r.mu.Unlock()
+	if !current {
+		return
+	}
+	err := r.readLastEnds(life)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.worker.ID == id && !r.workerEnded {
-		r.workerEnded = true
-		fields := logs.Fields{"worker": id, "runs": len(r.running), "answered": answered}
-		if r.listed {
-			fields["age"] = (r.Clock.Now() - r.listRequestedAt).Milliseconds()
-		}
-		r.Log.Info(logs.WorkerEnded, fields)
-		signal(r.reportNow)
+	if r.worker.Life != life || r.workerEnded || !r.lease.leaving {
+		return
+	}
+	r.Log.Info(logs.WorkerFarewell, r.listFields(logs.Fields{"worker": id, "answered": err == nil}))
+	r.checkEnded(err)
+	signal(r.reportNow)
+}
+
+// checkEnded records that the worker has ended if the error of a call to it proves that:
+// after its farewell no process listens at its address, or another incarnation does. It must
+// be called with the mutex held.
+func (r *Runner) checkEnded(err error) {
+	proof := ""
+	switch {
+	case errors.Is(err, plat.ErrNotFound):
+		proof = "another incarnation answers"
+	case r.lease.leaving && errors.Is(err, plat.ErrNotListening):
+		proof = "no process listens"
+	default:
+		return
 	}
+	r.workerEnded = true
+	r.Log.Info(logs.WorkerEnded, r.listFields(logs.Fields{"worker": r.worker.ID, "proof": proof}))
+	signal(r.reportNow)
+}
+
+// listFields adds to the fields of a log line what the worker's newest list showed, and its
+// age. It must be called with the mutex held.
+func (r *Runner) listFields(f logs.Fields) logs.Fields {
+	if r.listed {
+		f["runs"], f["age"] = len(r.running), (r.Clock.Now() - r.listRequestedAt).Milliseconds()
+	}
+	return f
 }
 
 // lastListTimeout bounds a request for a worker's last list, and lastListsTimeout all of
@@ -272,40 +313,35 @@
 
 // readLastEnds reads the list of runs and ends of a worker that is about to end. If the
 // worker has more ends than one list holds, it reads on when the owner has stored the first.
-// It reports whether the worker answered.
-func (r *Runner) readLastEnds(id string) (answered bool) {
+// It returns the error of the last call.
+func (r *Runner) readLastEnds(l work.Life) error {
 	ctx, cancel := context.WithTimeout(r.ctx, lastListsTimeout)
 	defer cancel()
 	for {
-		ok, more := r.readEnds(ctx, id)
-		answered = answered || ok
+		more, err := r.readEnds(ctx, l)
 		if !more || ctx.Err() != nil {
-			return answered
+			return err
 		}
 		r.awaitEndsStored(ctx)
 	}
 }
 
 // readEnds reads the list of runs and ends of a worker once, and reports whether the worker
-// answered and whether it has more ends.
-func (r *Runner) readEnds(ctx context.Context, id string) (answered, more bool) {
+// has more ends.
+func (r *Runner) readEnds(ctx context.Context, l work.Life) (more bool, err error) {
 	r.mu.Lock()
-	request := plat.LeaseRequest{Life: r.worker.Life, Term: r.term, Seen: r.storedEnd}
-	current := r.worker.ID == id && !r.workerEnded
+	request := plat.LeaseRequest{Life: l, Term: r.term, Seen: r.storedEnd}
 	r.mu.Unlock()
-	if !current {
-		return false, false
-	}
 	c, cancel := context.WithTimeout(ctx, lastListTimeout)
 	defer cancel()
 	sent := r.Clock.Now()
 	reply, err := r.Runtime.Hold(c, request)
 	if err != nil {
-		r.Log.Info(logs.PeerLost, logs.Fields{"worker": id, "step": "read last ends", "error": err.Error()})
-		return false, false
+		r.Log.Info(logs.PeerLost, logs.Fields{"worker": l.ID, "step": "read last ends", "error": err.Error()})
+		return false, err
 	}
 	r.handleLeaseReply(ctx, request, reply, sent)
-	return true, reply.MoreEnds
+	return reply.MoreEnds, nil
 }
 
 // signal wakes the receiver of a channel with a buffer of one, now or at its next
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -28,12 +28,13 @@
 	Age     int64     `cbor:"4,keyasint,omitempty"`
 	Running []Running `cbor:"5,keyasint,omitempty"`
 	Ends    []End     `cbor:"6,keyasint,omitempty"`
-	// Cut says that the worker is unresponsive and that its lease is not renewed
-	// until the owner allows it. Left is an upper bound of the time until the
+	// Cut says that the worker is unresponsive or has said farewell, and that its lease is
+	// not renewed until the owner allows it. Left is an upper bound of the time until the
 	// lease expires, in milliseconds of the agent's clock.
 	Cut  bool  `cbor:"7,keyasint,omitempty"`
 	Left int64 `cbor:"8,keyasint,omitempty"`
-	// Gone says that the worker process has ended.
+	// Gone says that the worker has certainly ended, and all its runs with it. A farewell
+	// does not prove that.
 	Gone bool `cbor:"9,keyasint,omitempty"`
 	// Unix is the agent's wall clock, in milliseconds since 1970.
 	Unix int64 `cbor:"10,keyasint"`
