runner: a new process of an agent counts with the lease that the one before asked for

A process that had read its worker's clock, but had not renewed the lease itself, reported 0 ms as left of it when the worker did not answer. The owner then released all runs of the worker, although the lease that the process before had asked for went on for up to 5 s: tasks could be at work on two workers.

From the first reading on, the process now counts with the latest expiry that an earlier one may have asked for: one lease after that reading. lease_test.go fails before, with 200 ms instead of 5 s.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -30,7 +30,8 @@
 	// arrived. Both are valid if synced is true.
 	workerClock, clockReadAt time.Duration
 	synced                   bool
-	// maxUntil is the latest expiry, by the worker's clock, that was requested.
+	// maxUntil is the latest expiry, by the worker's clock, that this process or an earlier
+	// one may have requested.
 	maxUntil time.Duration
 }
 
@@ -51,8 +52,12 @@
 	return w.Process == process && now-w.Sent < l.limits.OwnerTimeout
 }
 
-// syncClock records a reading of the worker's clock that arrived now.
+// syncClock records a reading of the worker's clock that arrived now. An earlier process of
+// the agent may have renewed the lease, at most up to one lease after its first reading.
 func (l *lease) syncClock(now, clock time.Duration) {
+	if !l.synced {
+		l.maxUntil = clock + l.limits.Lease
+	}
 	if l.synced && l.minWorkerClock(now) > clock {
 		// The reply was delayed, so the lower bound known so far is better.
 		return
