runner: a worker's clock that stood still is noticed

The agent's lower bound of its worker's clock was never lowered. After a pause of the worker that its clock did not count, while the agent's did, the agent took too little of the lease for left for good, and renewed it to times that had passed.

--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -144,7 +144,7 @@
 		signal(r.reportNow)
 	}
 	r.lease.workerAnswered()
-	r.lease.syncClock(now, reply.Clock)
+	r.lease.syncClock(sent, now, reply.Clock)
 	if !r.listed || r.listSurprises(reply) {
 		r.listDue = true
 		signal(r.reportNow)
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -52,14 +52,16 @@
 	return w.Process == process && now-w.Sent < l.limits.OwnerTimeout
 }
 
-// syncClock records a reading of the worker's clock that arrived now. An earlier process of
-// the agent may have renewed the lease, at most up to one lease after its first reading.
-func (l *lease) syncClock(now, clock time.Duration) {
+// syncClock records a reading of the worker's clock, made between the sending of a request
+// and now. An earlier process of the agent may have renewed the lease, at most up to one
+// lease after its first reading.
+func (l *lease) syncClock(sent, now, clock time.Duration) {
 	if !l.synced {
 		l.maxUntil = clock + l.limits.Lease
 	}
-	if l.synced && l.minWorkerClock(now) > clock {
-		// The reply was delayed, so the lower bound known so far is better.
+	// The lower bound known so far is better than a delayed reading, but wrong if the clock
+	// was behind it already when the request was sent: it stood still for a while.
+	if l.synced && l.minWorkerClock(now) > clock && l.minWorkerClock(sent) <= clock {
 		return
 	}
 	l.workerClock, l.clockReadAt, l.synced = clock, now, true
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -15,7 +15,7 @@
 	limits := sched.Limits{}.WithDefaults()
 	renewable := func() *lease {
 		l := &lease{limits: limits}
-		l.syncClock(0, time.Hour)
+		l.syncClock(0, 0, time.Hour)
 		l.ownerReplied(0, true, false)
 		return l
 	}
@@ -29,8 +29,25 @@
 		end := earlier.renewUntil(0) - time.Hour
 		restarted := &lease{limits: limits}
 		expectCovers(restarted, 100*time.Millisecond, end)
-		restarted.syncClock(200*time.Millisecond, time.Hour+200*time.Millisecond)
+		restarted.syncClock(200*time.Millisecond, 200*time.Millisecond, time.Hour+200*time.Millisecond)
 		expectCovers(restarted, 200*time.Millisecond, end)
 		expectCovers(restarted, 2*time.Second, end)
 	})
+	It("covers the lease after the worker's clock stood still", func() {
+		l := renewable()
+		const pause, stoodStill = 4 * time.Second, 3 * time.Second
+		l.renewUntil(0)
+		l.syncClock(pause, pause, time.Hour+pause-stoodStill)
+		expectCovers(l, pause, pause+l.limits.Lease-(pause-stoodStill))
+		l.ownerReplied(pause, true, false)
+		l.renewUntil(pause)
+		expectCovers(l, pause, pause+l.limits.Lease)
+	})
+	It("is not prolonged by a reply that was delayed", func() {
+		l := renewable()
+		l.renewUntil(0)
+		before := l.maxRemaining(2 * time.Second)
+		l.syncClock(500*time.Millisecond, 2*time.Second, time.Hour+500*time.Millisecond)
+		Expect(l.maxRemaining(2 * time.Second)).To(Equal(before))
+	})
 })
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -69,7 +69,7 @@
 	now := r.Clock.Now()
 	r.term, r.owner = 1, "owner"
 	r.lease.ownerReplied(now, true, false)
-	r.lease.syncClock(now, time.Second)
+	r.lease.syncClock(now, now, time.Second)
 	return r
 }
 
