sched, runner: runs that the next incarnation of a worker may have are stopped there

Orders name a worker's incarnation by its ID. A worker that starts again under its ID carries out starts that were meant for the incarnation before, until its agent and the owner learn of it by its first heartbeat. The owner then took all runs of the earlier incarnation for over and started their tasks elsewhere, although the new one had them at work.

An incarnation with the same ID now inherits the placements of the one before, and each run is stopped there, so that it can't start late either, before its task is placed again. Its room stays taken until then. An earlier incarnation counts as over only when the present one has answered its agent, not when it has announced itself. The agent passes no order on while an incarnation answers that it does not know.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -89,7 +89,7 @@
 		return work.Fenced
 	}
 	r.recordOwner(o.Term, o.Owner)
-	if o.Life != r.worker.Life || r.workerEnded {
+	if o.Life != r.worker.Life || r.workerEnded || r.otherBorn != 0 {
 		return work.OtherIncarnation
 	}
 	r.recordStored(o.Noted)
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -154,3 +154,22 @@
 		close(m.release)
 	})
 })
+
+// Guards against passing orders on to an incarnation that the owner does not know yet: the
+// worker's address and ID are those of the incarnation before.
+var _ = Describe("An order after the worker has started again under its ID", func() {
+	It("is rejected once another incarnation has answered", func() {
+		m := &blockingWorker{}
+		r := newRunner(m)
+		r.reportNow = make(chan struct{}, 1)
+		request := plat.LeaseRequest{Life: r.worker.Life}
+		r.handleLeaseReply(r.ctx, request, plat.LeaseReply{Born: r.worker.Born + 1}, r.Clock.Now())
+		run := runOf(otherJob, 0)
+		Expect(startCodes(r.handleOrder(newOrder(r, []work.Run{run}, nil)))).To(Equal([]string{otherJob + " other"}))
+		Expect(m.startCalled(run)).To(BeFalse())
+		next := r.worker
+		next.Born++
+		r.Heartbeat(next, 1)
+		Expect(r.otherBorn).To(BeZero())
+	})
+})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -58,7 +58,7 @@
 	// its farewell, or another incarnation answers there.
 	workerEnded bool
 	// otherBorn is the birth of the incarnation that answered last under the worker's ID
-	// and that has not announced itself, or 0.
+	// and that has not announced itself, or 0. No order is passed on to it.
 	otherBorn int64
 	lease     lease
 	// term is the highest term that is known. owner is the address to which reports
--- /dev/null
+++ b/internal/sched/reborn_test.go
@@ -0,0 +1,81 @@
+package sched_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lagoonrack/internal/sched"
+	"lagoonrack/internal/work"
+)
+
+// Orders name a worker's incarnation by its ID only. A worker that has started again under
+// its ID may have carried out starts that were meant for the incarnation before.
+var _ = Describe("The runs of a worker that starts again", func() {
+	// newCell returns a cell with a long-running task on the first of two workers, and a
+	// function that starts that worker again.
+	newCell := func() (*testCell, func(id string)) {
+		s := newTestCell(testQueues, 16, 16)
+		s.stopDuration = 300 * time.Millisecond
+		s.submit("job", "serve", latencyStep(1, 4))
+		s.advance(time.Second)
+		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
+		return s, func(id string) {
+			s.workers[0].ID = id
+			s.workers[0].Born++
+		}
+	}
+	neverTwice := func(s *testCell, d time.Duration) {
+		GinkgoHelper()
+		for until := s.now + d; s.now < until; s.advance(tickInterval) {
+			n := s.tasksPerWorker("job")
+			Expect(n[0]+n[1]).To(BeNumerically("<=", 1), "at %v: %v", s.now, n)
+		}
+	}
+
+	It("are stopped on the new incarnation of its ID before their tasks are placed again", func() {
+		s, restart := newCell()
+		restart("w0")
+		neverTwice(s, 3*time.Second)
+		Expect(s.core.Census().Ready).To(Equal(2))
+		n := s.tasksPerWorker("job")
+		Expect(n[0] + n[1]).To(Equal(1))
+	})
+	It("keep their room there until then", func() {
+		s, restart := newCell()
+		s.stopDuration = time.Hour
+		restart("w0")
+		s.submit("large", "serve", latencyStep(2, 14))
+		s.advance(2 * time.Second)
+		Expect(s.tasksPerWorker("large")).To(Equal([]int{0, 1}))
+	})
+	It("are stopped also by an owner that has taken over", func() {
+		job := work.Job{ID: "job", Queue: "serve", Service: "s", Spec: "x", Steps: []work.Step{latencyStep(1, 4)}}
+		s, restart := newCell()
+		restart("w0")
+		s.replaceOwner(job)
+		neverTwice(s, 3*time.Second)
+	})
+	It("are over if the ID is new, which the orders for the one before do not name", func() {
+		s, restart := newCell()
+		s.workers[0].runs = map[work.Run]*testRun{}
+		restart("w7")
+		s.advance(tickInterval)
+		n := s.tasksPerWorker("job")
+		Expect(n[0] + n[1]).To(Equal(1))
+	})
+	It("are not over before it has answered its agent", func() {
+		s, restart := newCell()
+		lost := s.workers[0]
+		restart("w7")
+		for range 5 {
+			announced := s.newReport(lost)
+			announced.Listed, announced.Running = false, nil
+			s.step(sched.Report{Report: announced})
+			s.step(sched.Tick{})
+			s.now += tickInterval
+		}
+		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
+	})
+})
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -31,7 +31,6 @@
 		return
 	}
 	c.wallClock.add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
-	c.endPredecessors(w)
 	changed := !w.reported || w.Leaving != e.Worker.Leaving
 	w.Worker = e.Worker
 	w.lastReport = c.now
@@ -44,6 +43,7 @@
 		c.handleEnd(w, x)
 	}
 	if e.Listed {
+		c.endPredecessors(w)
 		c.reconcile(w, e.Report, c.now-delay-time.Duration(e.Age)*time.Millisecond)
 	}
 	c.updateLease(w, e)
@@ -58,20 +58,47 @@
 	return "ready"
 }
 
-// endPredecessors ends earlier incarnations of the same worker or at the same
-// agent.
+// endPredecessors ends earlier incarnations of the same worker or at the same agent once a
+// list shows that the present one answers at their address.
 func (c *Core) endPredecessors(w *worker) {
-	if w.reported {
+	if w.answered {
 		return
 	}
+	w.answered = true
 	for _, o := range c.workerList {
-		if o != w && !o.gone && o.Born < w.Born && (o.agent == w.agent || o.ID == w.ID) {
-			o.gone = true
+		if o == w || o.gone || o.Born >= w.Born || o.agent != w.agent && o.ID != w.ID {
+			continue
+		}
+		o.gone = true
+		if o.ID == w.ID {
+			c.inheritRuns(w, o)
+		} else {
 			c.releaseAll(o, "reborn")
 		}
 	}
 }
 
+// inheritRuns passes the placements on an earlier incarnation to the one that has its ID
+// now. Orders name only the ID, so the starts may have reached this one: the runs are
+// stopped here before their tasks are placed again.
+func (c *Core) inheritRuns(w, earlier *worker) {
+	if earlier.placements.len() > 0 {
+		c.emit(Decision{Kind: "lost", Worker: w.ID, Reason: "reborn", Took: c.now - earlier.lastReport})
+	}
+	for _, p := range earlier.placements.sorted() {
+		if p.sentAt == 0 {
+			c.releaseVanished(p, "reborn")
+			continue
+		}
+		earlier.remove(p)
+		p.worker, p.stopAppliedAt = w, 0
+		w.add(p)
+		p.stopReason = cmp.Or(p.stopReason, "reborn")
+		c.orderStop(p)
+		c.markDirty(p.task.step.job, p.task.step.job.rowOf(p.task))
+	}
+}
+
 // updateLease updates the upper bound of the worker's lease from a report.
 func (c *Core) updateLease(w *worker, e Report) {
 	switch {
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -37,6 +37,9 @@
 	lastReport, leaseEnd time.Duration
 	// reported says that the worker's agent has reported to this owner.
 	reported bool
+	// answered says that a report had the worker's list, so that this incarnation is the
+	// one that answers at its address.
+	answered bool
 	// reportID is the ID of the newest report, and reportArrived when it arrived,
 	// or 0.
 	reportID      work.ReportID
