runner: a heartbeat replaces a worker only if that incarnation answers

Found while looking for other ways in which all runs of a worker are released at once. A well-formed heartbeat of another writer, or one that clocks date wrongly, that named a later incarnation made the agent forget its worker; the owner released all runs of it as those of an earlier incarnation while they were at work, and the worker's own heartbeats were ignored from then on.

--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -169,6 +169,9 @@
 		Expect(m.startCalled(run)).To(BeFalse())
 		next := r.worker
 		next.Born++
+		r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
+			return plat.LeaseReply{Born: next.Born}, nil
+		}
 		r.Heartbeat(next, 1)
 		Expect(r.otherBorn).To(BeZero())
 	})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -223,6 +223,10 @@
 // Heartbeat records a heartbeat of the worker. Sequence increases within an
 // incarnation.
 func (r *Runner) Heartbeat(w work.Worker, sequence int64) {
+	if r.isForeign(w) {
+		r.Log.Info(logs.EntrySkipped, logs.Fields{"list": "heartbeats", "worker": w.ID, "born": w.Born, "reason": "another incarnation answers at the address"})
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -249,6 +253,22 @@
 	}
 }
 
+// isForeign reports whether a heartbeat names an incarnation other than the one that answers
+// at the worker's address. Such a heartbeat must not replace a worker that has runs at work.
+func (r *Runner) isForeign(w work.Worker) bool {
+	r.mu.Lock()
+	replaces := r.worker.ID != "" && !r.workerEnded && w.Life != r.worker.Life && w.Born >= r.worker.Born
+	request := plat.LeaseRequest{Life: w.Life, Term: r.term}
+	r.mu.Unlock()
+	if !replaces {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, lastListTimeout)
+	defer cancel()
+	reply, err := r.Runtime.Hold(ctx, request)
+	return errors.Is(err, plat.ErrNotFound) || err == nil && reply.Born != 0 && reply.Born != w.Born
+}
+
 // Deregistered records the worker's farewell. The worker may go on for a while, so its runs
 // are not over: its lease is not renewed any more, and the owner learns what is left of it
 // and, once that is certain, that the worker has ended. The worker is first asked for its
@@ -303,7 +323,8 @@
 	return f
 }
 
-// lastListTimeout bounds a request for a worker's last list, and lastListsTimeout all of
+// lastListTimeout bounds a request for a worker's list before a message of the worker is
+// answered, and lastListsTimeout all of
 // them, which precede the answer to the worker's farewell: the worker waits about a second
 // for that.
 const (
