minion, runner: a list with unreadable items says nothing about missing runs

A run whose row in the minion's list could not be decoded was left out of the list, so the owner took it for gone after two lists, stopped it, and placed its task again while the stop was under way. Such a list is now marked, as a full list of ends is.

--- a/internal/plat/runtime.go
+++ b/internal/plat/runtime.go
@@ -32,6 +32,9 @@
 	// MoreEnds says that there may be more of them than the answer holds.
 	Ends     []work.End
 	MoreEnds bool
+	// Partial says that some items of the answer could not be decoded, so that a run that
+	// is in neither list may be at work or have ended.
+	Partial bool
 }
 
 // StartRun orders a worker to start a run.
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -150,7 +150,7 @@
 		signal(r.reportNow)
 	}
 	r.running, r.listed, r.listRequestedAt = reply.Running, true, sent
-	r.ends, r.moreEnds = unstoredEnds(reply.Ends, r.storedEnd), reply.MoreEnds
+	r.ends, r.moreEnds, r.partial = unstoredEnds(reply.Ends, r.storedEnd), reply.MoreEnds, reply.Partial
 	if len(r.ends) > 0 && r.ends[len(r.ends)-1].N > r.reportedEnd {
 		signal(r.reportNow)
 	}
--- a/internal/runner/lists_test.go
+++ b/internal/runner/lists_test.go
@@ -26,6 +26,13 @@
 		r.starts[known] = &startOrder{done: make(chan struct{}), code: work.Started}
 		r.recordOwner(r.term, "owner")
 	})
+	It("say nothing of missing runs if a part of them could not be read", func() {
+		r.handleLeaseReply(r.ctx, plat.LeaseRequest{Life: r.worker.Life}, plat.LeaseReply{Partial: true}, r.Clock.Now())
+		rep, ok := r.buildReport()
+		Expect(ok).To(BeTrue())
+		Expect(rep.Listed).To(BeTrue())
+		Expect(rep.MoreEnds).To(BeTrue())
+	})
 	// list hands in a list of the worker, and reports whether a report is due at once.
 	list := func(ends []work.End, runs ...work.Run) bool {
 		reply := plat.LeaseReply{Ends: ends}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -94,7 +94,7 @@
 	}
 	if r.listed && !r.lease.unresponsive && (r.listDue || now-r.listReportedAt >= listInterval) {
 		rep.Listed, rep.Running, rep.Age = true, r.running, (now - r.listRequestedAt).Milliseconds()
-		rep.MoreEnds = r.moreEnds
+		rep.MoreEnds = r.moreEnds || r.partial
 	}
 	if rep.Cut {
 		rep.Left = r.lease.maxRemaining(now).Milliseconds() + 1
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -84,10 +84,12 @@
 	ownerBusy bool
 	// running is the worker's newest list of runs, which was requested at
 	// listRequestedAt, and ends lists the ended runs that the owner has not stored.
-	// moreEnds says that the worker has more of them. All are valid if listed is true.
+	// moreEnds says that the worker has more of them, and partial that items of its lists
+	// could not be read. All are valid if listed is true.
 	running         []work.Running
 	ends            []work.End
 	moreEnds        bool
+	partial         bool
 	listRequestedAt time.Duration
 	listed          bool
 	// starts holds the ordered starts until their runs have ended, and about the
@@ -210,7 +212,7 @@
 	r.workerEnded, r.otherBorn = false, 0
 	r.lease = lease{limits: r.Limits}
 	r.storedEnd, r.reportedEnd = 0, 0
-	r.running, r.ends, r.moreEnds = nil, nil, false
+	r.running, r.ends, r.moreEnds, r.partial = nil, nil, false, false
 	r.listed, r.listDue = false, true
 	r.starts = map[work.Run]*startOrder{}
 	r.stoppedAt = map[work.Run]time.Duration{}
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -43,7 +43,8 @@
 	// Name is the agent's name.
 	Name string   `cbor:"12,keyasint"`
 	Word ReportID `cbor:"13,keyasint"`
-	// MoreEnds says that the worker has more ends than Ends lists.
+	// MoreEnds says that the worker has more ends than Ends lists, or that some of its
+	// runs or ends could not be read.
 	MoreEnds bool `cbor:"14,keyasint,omitempty"`
 }
 
