sched, runner: lists of runs are dated by what the agent had heard when it requested them

Found while asking of each way in which a placement ends which clock dates its proof. The owner dated a list by the transit times of an agent's reports, and took the first report of a process to have come without delay. If the reports of a restarted agent are slow from the first on, which a busy machine is enough for, its lists count as newer than the starts that they were made before: the owner takes fresh runs for gone, stops them, and an older list then counts as proof that they are over.

The owner's replies and orders now carry its time, and a report says which of these the agent knew when it requested the list. That is a bound without any assumption on clocks or transit times; lists for which it is not known, such as those of an agent of an earlier version, prove nothing. The estimate still serves to notice stalled runs.

Evidence: stale_test.go, before: the task is at work twice 0.7 s after its start.

--- a/internal/plat/runtime.go
+++ b/internal/plat/runtime.go
@@ -19,6 +19,8 @@
 	Seen int64
 	// Wait is how long the worker may delay its reply until a run ends.
 	Wait time.Duration
+	// After is the newest moment of an owner that the agent knows. It is not sent.
+	After work.Moment
 }
 
 // LeaseReply is a worker's answer to a LeaseRequest.
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -84,7 +84,7 @@
 		return plat.LeaseRequest{}, false
 	}
 	now := r.Clock.Now()
-	request := plat.LeaseRequest{Life: r.worker.Life, Until: r.lease.renewUntil(now), Term: r.term, Seen: r.storedEnd, Wait: leaseRequestWait}
+	request := plat.LeaseRequest{Life: r.worker.Life, Until: r.lease.renewUntil(now), Term: r.term, Seen: r.storedEnd, Wait: leaseRequestWait, After: r.heard}
 	switch {
 	case !r.lease.synced || r.lease.unresponsive:
 		request.Wait = 0
@@ -149,7 +149,7 @@
 		r.listDue = true
 		signal(r.reportNow)
 	}
-	r.running, r.listed, r.listRequestedAt = reply.Running, true, sent
+	r.running, r.listed, r.listRequestedAt, r.listedAfter = reply.Running, true, sent, request.After
 	r.ends, r.moreEnds, r.partial = unstoredEnds(reply.Ends, r.storedEnd), reply.MoreEnds, reply.Partial
 	if len(r.ends) > 0 && r.ends[len(r.ends)-1].N > r.reportedEnd {
 		signal(r.reportNow)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -93,6 +93,7 @@
 		return work.OtherIncarnation
 	}
 	r.recordStored(o.Noted)
+	r.heard = r.heard.Latest(o.Now)
 	return ""
 }
 
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -94,7 +94,7 @@
 	}
 	if r.listed && !r.lease.unresponsive && (r.listDue || now-r.listReportedAt >= listInterval) {
 		rep.Listed, rep.Running, rep.Age = true, r.running, (now - r.listRequestedAt).Milliseconds()
-		rep.MoreEnds = r.moreEnds || r.partial
+		rep.MoreEnds, rep.ListedAfter = r.moreEnds || r.partial, r.listedAfter
 	}
 	if rep.Cut {
 		rep.Left = r.lease.maxRemaining(now).Milliseconds() + 1
@@ -166,6 +166,7 @@
 		return false
 	}
 	r.recordOwner(reply.Term, owner)
+	r.heard = r.heard.Latest(reply.Now)
 	if reply.Challenge != 0 {
 		r.challenge = reply.Challenge
 		signal(r.reportNow)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -92,6 +92,9 @@
 	partial         bool
 	listRequestedAt time.Duration
 	listed          bool
+	// heard is the newest moment of an owner that is known, and listedAfter the one that
+	// was known when running was requested.
+	heard, listedAfter work.Moment
 	// starts holds the ordered starts until their runs have ended, and about the
 	// descriptions of the runs.
 	starts map[work.Run]*startOrder
@@ -353,7 +356,7 @@
 // has more ends.
 func (r *Runner) readEnds(ctx context.Context, l work.Life) (more bool, err error) {
 	r.mu.Lock()
-	request := plat.LeaseRequest{Life: l, Term: r.term, Seen: r.storedEnd}
+	request := plat.LeaseRequest{Life: l, Term: r.term, Seen: r.storedEnd, After: r.heard}
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(ctx, lastListTimeout)
 	defer cancel()
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -72,8 +72,10 @@
 	renew   bool
 	// process counts the starts of the agent.
 	process int64
-	// echo is the newest challenge that this process of the agent received.
-	echo uint64
+	// echo is the newest challenge that this process of the agent received, and heard the
+	// newest moment of an owner.
+	echo  uint64
+	heard work.Moment
 }
 
 // workerRun is a run on a worker.
@@ -228,7 +230,7 @@
 func (r *node) restartAgent() {
 	r.term, r.joined, r.renew, r.contact = 0, false, false, 0
 	r.process++
-	r.echo = 0
+	r.echo, r.heard = 0, work.Moment{}
 }
 
 // startOwner starts a new owner from the stored rows.
@@ -427,7 +429,7 @@
 		code = work.Fenced
 	}
 	if code == "" {
-		r.term = o.Term
+		r.term, r.heard = o.Term, r.heard.Latest(o.Now)
 		r.acknowledge(o.Noted, w)
 	}
 	for _, s := range o.Starts {
@@ -727,7 +729,7 @@
 	}
 	report := work.Report{
 		Word:  work.ReportID{Process: r.process, Sent: w.now, Echo: r.echo},
-		Agent: r.addr, Listed: true, Unix: w.now.Milliseconds(),
+		Agent: r.addr, Listed: true, ListedAfter: r.heard, Unix: w.now.Milliseconds(),
 		Worker: work.Worker{Life: work.Life{ID: r.id, Born: r.born}, Service: "s", Size: r.size, Leaving: r.draining, Remaining: 2000},
 		Ends:   slices.Clone(r.ends),
 	}
@@ -768,7 +770,7 @@
 		return
 	}
 	r.term = reply.Term
-	r.joined, r.contact = true, max(r.contact, sent)
+	r.joined, r.contact, r.heard = true, max(r.contact, sent), r.heard.Latest(reply.Now)
 	r.renew = reply.Renew
 	r.acknowledge(reply.Noted, w)
 }
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -163,7 +163,7 @@
 
 // report sends a worker's report with the list of its runs.
 func (s *loadedCell) report(n *loadedNode) {
-	r := work.Report{Agent: n.agent, Worker: n.Worker, Listed: true, Unix: 1_000_000_000 + s.now.Milliseconds(), Word: work.ReportID{Process: n.process, Sent: s.now}}
+	r := work.Report{Agent: n.agent, Worker: n.Worker, Listed: true, ListedAfter: work.Moment{Term: 1, At: s.now}, Unix: 1_000_000_000 + s.now.Milliseconds(), Word: work.ReportID{Process: n.process, Sent: s.now}}
 	r.Ends, n.ends = n.ends, nil
 	for _, k := range n.sortedRuns() {
 		x := n.runs[k]
--- a/internal/sched/orders.go
+++ b/internal/sched/orders.go
@@ -18,7 +18,7 @@
 func (c *Core) sendOrders() {
 	for _, w := range c.outbox {
 		w.orderQueued = false
-		w.pendingOrder.Noted = w.storedEnd
+		w.pendingOrder.Noted, w.pendingOrder.Now = w.storedEnd, c.moment()
 		c.emit(Send{Agent: w.agent, Order: w.pendingOrder})
 	}
 	c.outbox = c.outbox[:0]
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -27,7 +27,7 @@
 	delay, ok := w.acceptReport(c.now, e.Word)
 	if !ok {
 		c.emit(Decision{Kind: "overtaken", Worker: w.ID, Took: delay})
-		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term, Challenge: c.challengeFor(w, e.Word)}})
+		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term, Challenge: c.challengeFor(w, e.Word), Now: c.moment()}})
 		return
 	}
 	c.wallClock.add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
@@ -44,12 +44,25 @@
 	}
 	if e.Listed {
 		c.endPredecessors(w)
-		c.reconcile(w, e.Report, c.now-delay-time.Duration(e.Age)*time.Millisecond)
+		c.reconcile(w, e.Report, c.now-delay-time.Duration(e.Age)*time.Millisecond, c.provenTime(e.ListedAfter))
 	}
 	c.updateLease(w, e)
 	c.replyToReport(w, e)
 }
 
+// provenTime returns the time that a list is not older than, by what its agent knew when it
+// requested the list, or 0. Unlike an estimate from the times of reports, it is also right
+// if all reports of an agent are delayed.
+func (c *Core) provenTime(m work.Moment) time.Duration {
+	if m.Term != c.term {
+		return 0
+	}
+	return min(m.At, c.now)
+}
+
+// moment returns the present moment.
+func (c *Core) moment() work.Moment { return work.Moment{Term: c.term, At: c.now} }
+
 // readiness returns the reason text of a log entry about a worker's state.
 func readiness(draining bool) string {
 	if draining {
@@ -129,7 +142,7 @@
 	r := work.Reply{Term: c.term, Renew: !e.Cut && !w.gone, About: c.describeRuns(w, e.Asks)}
 	r.Press, r.Bases = c.interferenceOn(w)
 	c.afterStored(func() {
-		r.Noted = w.storedEnd
+		r.Noted, r.Now = w.storedEnd, c.moment()
 		c.emit(Reply{Token: e.Token, Reply: r})
 	})
 }
@@ -306,9 +319,9 @@
 // run is taken to be gone.
 const maxMissedLists = 2
 
-// reconcile compares the list of a worker's runs in a report, as of a time, with its
-// placements.
-func (c *Core) reconcile(w *worker, report work.Report, at time.Duration) {
+// reconcile compares the list of a worker's runs in a report with its placements. The list
+// was made at about a time, and certainly not before the proven one.
+func (c *Core) reconcile(w *worker, report work.Report, at, proven time.Duration) {
 	// An agent repeats its last list while the worker does not answer. A repeated
 	// list is no evidence that a run has stalled.
 	newList := at > w.listTime+messageMargin
@@ -336,18 +349,18 @@
 	}
 	for _, p := range w.placements.sorted() {
 		if p.listedIn != c.listCount {
-			c.handleMissing(p, at)
+			c.handleMissing(p, proven)
 		}
 	}
 }
 
-// handleMissing decides on a placement whose run is not in the worker's list of the
-// given time.
-func (c *Core) handleMissing(p *placement, at time.Duration) {
+// handleMissing decides on a placement whose run is not in a list that was not made before
+// the given time.
+func (c *Core) handleMissing(p *placement, proven time.Duration) {
 	switch {
-	case p.stopAppliedAt > 0 && at > p.stopAppliedAt+messageMargin:
+	case p.stopAppliedAt > 0 && proven > p.stopAppliedAt:
 		c.releaseVanished(p, p.stopReason)
-	case p.wontStartAgain && at > p.confirmedAt+messageMargin:
+	case p.wontStartAgain && proven > p.confirmedAt:
 		c.releaseVanished(p, "void")
 	case p.adopted && p.stopReason == "":
 		// The previous owner may not have ordered the start. Ordering it again has
@@ -358,7 +371,7 @@
 		} else {
 			c.orderStart(p)
 		}
-	case p.confirmed && p.stored && p.stopReason == "" && at > p.confirmedAt+messageMargin:
+	case p.confirmed && p.stored && p.stopReason == "" && proven > p.confirmedAt:
 		if p.missedLists++; p.missedLists >= maxMissedLists {
 			// The stop guarantees that the run never starts.
 			c.stop(p, "vanished")
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -155,7 +155,7 @@
 
 // newReport returns the report that the worker's agent would send now.
 func (s *testCell) newReport(w *testWorker) work.Report {
-	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, Unix: (s.wallClock() + s.clockOffset[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.ReportID{Process: 1 + w.process, Sent: s.now, Echo: w.echo}}
+	r := work.Report{Agent: w.agent, Worker: w.Worker, Listed: true, ListedAfter: work.Moment{Term: 1 + s.term, At: s.now}, Unix: (s.wallClock() + s.clockOffset[w]).Milliseconds(), Ends: slices.Clone(w.ends), Word: work.ReportID{Process: 1 + w.process, Sent: s.now, Echo: w.echo}}
 	if n := w.endsPerReport; n > 0 && len(r.Ends) >= n {
 		r.Ends, r.MoreEnds = r.Ends[:n], true
 	}
--- a/internal/sched/stale_test.go
+++ b/internal/sched/stale_test.go
@@ -103,3 +103,42 @@
 		Expect(s.countMoves("stalled")).To(BeZero())
 	})
 })
+
+// The owner took the first report of an agent's process to have come without delay, so the
+// lists of a process whose reports are slow counted as newer than the starts that they were
+// made before. A run was stopped and, while it was being stopped, started elsewhere.
+var _ = Describe("reports that are slow from the first of an agent's process on", func() {
+	It("release no run that was started after they were sent", func() {
+		const slow, listInterval = 800 * time.Millisecond, 250 * time.Millisecond
+		s := newTestCell(testQueues, 16, 16)
+		s.stopDuration = 900 * time.Millisecond
+		w := s.workers[0]
+		s.advance(time.Second)
+		w.process++
+		s.step(sched.Report{Token: 1, Report: s.newReport(w)})
+		w.echo = s.challenge
+		pending := map[time.Duration]work.Report{}
+		for begun := s.now; s.now < begun+4*time.Second; {
+			s.now += tickInterval / 2
+			if s.now-begun == time.Second {
+				s.submit("job", "short", shortStep(1, false))
+				Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
+			}
+			if (s.now-begun)%listInterval == 3*tickInterval/2 {
+				pending[s.now+slow] = s.newReport(w)
+			}
+			if report, ok := pending[s.now]; ok {
+				s.step(sched.Report{Token: 1, Report: report})
+			}
+			for r, x := range w.runs {
+				if x.stopEnds > 0 && s.now >= x.stopEnds {
+					s.endRun(w, r, work.Stopped)
+				}
+			}
+			s.sendReport(s.workers[1])
+			s.step(sched.Tick{})
+			n := s.tasksPerWorker("job")
+			Expect(n[0]+n[1]).To(BeNumerically("<=", 1), "%v after the start", s.now-begun-time.Second)
+		}
+	})
+})
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -15,6 +15,21 @@
 	Echo uint64 `cbor:"3,keyasint,omitempty"`
 }
 
+// Moment is a time on the clock of the owner in a term. The zero value is before all
+// others.
+type Moment struct {
+	Term uint64        `cbor:"1,keyasint,omitempty"`
+	At   time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// Latest returns the later of two moments.
+func (m Moment) Latest(x Moment) Moment {
+	if x.Term > m.Term || x.Term == m.Term && x.At > m.At {
+		return x
+	}
+	return m
+}
+
 // Report describes the state of a worker to the cell's owner. The worker's agent
 // sends it.
 type Report struct {
@@ -46,6 +61,9 @@
 	// MoreEnds says that the worker has more ends than Ends lists, or that some of its
 	// runs or ends could not be read.
 	MoreEnds bool `cbor:"14,keyasint,omitempty"`
+	// ListedAfter is the newest Moment of an owner that the agent knew when it requested
+	// the list of runs: the list is not older.
+	ListedAfter Moment `cbor:"15,keyasint,omitempty"`
 }
 
 // Reply is the owner's answer to a Report.
@@ -76,6 +94,8 @@
 	// Busy says that the owner is so far behind that it has not handled the report. The
 	// report counts as lost, but the owner lives.
 	Busy bool `cbor:"10,keyasint,omitempty"`
+	// Now is the time of the reply.
+	Now Moment `cbor:"11,keyasint,omitempty"`
 }
 
 // About holds what an agent needs to know about a run in order to throttle it or
@@ -110,8 +130,9 @@
 	// Specs holds the specification of each job in Starts.
 	Specs map[string]string `cbor:"5,keyasint,omitempty"`
 	Stops []Run             `cbor:"6,keyasint,omitempty"`
-	// Noted is as in Reply.
-	Noted int64 `cbor:"7,keyasint,omitempty"`
+	// Noted and Now are as in Reply.
+	Noted int64  `cbor:"7,keyasint,omitempty"`
+	Now   Moment `cbor:"9,keyasint,omitempty"`
 }
 
 // Code is the outcome of an order to start, stop or throttle a run.
