sched: an incarnation inherits runs before the ends in its first report are handled

The ends of runs that a worker had been given for its earlier incarnation were looked up before the runs were inherited, so they were dropped, but taken note of: a run that had ended done was started again, and a failed one did not count.

--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -18,7 +18,7 @@
 		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term}})
 		return
 	}
-	if current := c.workerByAgent[e.Agent]; current != nil && current.Born > e.Worker.Born {
+	if current := c.workerByAgent[e.Agent]; current != nil && current.Born > e.Worker.Born && !current.gone {
 		// The report is from an earlier incarnation.
 		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term}})
 		return
@@ -39,11 +39,14 @@
 		c.changes.addWorker(w)
 		c.emit(Decision{Kind: "worker", Worker: w.ID, Reason: readiness(w.Leaving)})
 	}
+	if e.Listed || len(e.Ends) > 0 {
+		// First, so that the ends find the runs that this incarnation inherits.
+		c.endPredecessors(w)
+	}
 	for _, x := range e.Ends {
 		c.handleEnd(w, x)
 	}
 	if e.Listed {
-		c.endPredecessors(w)
 		c.reconcile(w, e.Report, c.now-delay-time.Duration(e.Age)*time.Millisecond, c.provenTime(e.ListedAfter))
 	}
 	c.updateLease(w, e)
@@ -104,7 +107,7 @@
 			continue
 		}
 		earlier.remove(p)
-		p.worker, p.stopAppliedAt = w, 0
+		p.worker, p.stopAppliedAt, p.wontStartAgain = w, 0, false
 		w.add(p)
 		p.stopReason = cmp.Or(p.stopReason, "reborn")
 		c.orderStop(p)
