runner: a closed socket does not prove that a worker has ended

After a farewell, a refused connection counted as the end.

Only another incarnation at the address, or the expiry of the lease, ends the runs now. So that this does not take long, the lease of a draining worker is kept at 2 s, and the owner releases the runs of an unresponsive worker at its next tick after the expiry. The report after a farewell no longer says that the worker drains unless it does: the farewell may be an earlier incarnation's, and its runs would be stopped.

--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -24,9 +24,6 @@
 	ErrConflict = errors.New("conflict")
 	// ErrNotFound means that an object or a worker does not exist.
 	ErrNotFound = errors.New("not found")
-	// ErrNotListening means that a connection was refused because no process listens at
-	// the address.
-	ErrNotListening = errors.New("no process listens")
 	// ErrUnavailable means that no answer was received; a write may have taken
 	// effect.
 	ErrUnavailable = errors.New("service unavailable")
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -23,6 +23,9 @@
 	// leaving says that the worker has said farewell. The lease is not renewed any more,
 	// so that the owner can rely on its expiry.
 	leaving bool
+	// draining says that the worker will end soon. Its lease is kept short, since the
+	// runs that it has at its farewell can be placed again only when it has expired.
+	draining bool
 	// failingSince is the time of the first of the lease requests in a row that
 	// failed, or 0 if the last one was answered.
 	failingSince time.Duration
@@ -40,6 +43,9 @@
 // requests in a row have failed by then.
 const unresponsiveAfter = 1500 * time.Millisecond
 
+// drainingLease is the lease of a worker that is draining. It lets an agent restart.
+const drainingLease = 2 * time.Second
+
 // ownerContactRecent reports whether the owner has answered a report that was sent
 // less than OwnerTimeout ago. Only then may the agent renew the lease or start runs.
 func (l *lease) ownerContactRecent(now time.Duration) bool {
@@ -81,7 +87,11 @@
 	if !l.synced || !l.mayRenew || l.unresponsive || l.leaving || !l.ownerContactRecent(now) {
 		return 0
 	}
-	u := l.minWorkerClock(now) + l.limits.Lease
+	length := l.limits.Lease
+	if l.draining {
+		length = min(length, drainingLease)
+	}
+	u := l.minWorkerClock(now) + length
 	l.maxUntil = max(l.maxUntil, u)
 	return u
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -89,9 +89,6 @@
 		Unix:   time.Now().UnixMilli(),
 		Word:   work.ReportID{Process: r.Clock.StartUnixMilli(), Sent: now, Echo: r.challenge},
 	}
-	if r.lease.leaving {
-		rep.Worker.Leaving, rep.Worker.Remaining = true, 0
-	}
 	if r.listed && !r.lease.unresponsive && (r.listDue || now-r.listReportedAt >= listInterval) {
 		rep.Listed, rep.Running, rep.Age = true, r.running, (now - r.listRequestedAt).Milliseconds()
 		rep.MoreEnds, rep.ListedAfter = r.moreEnds || r.partial, r.listedAfter
@@ -193,7 +190,7 @@
 	if n := len(rep.Ends); n > 0 {
 		r.reportedEnd = max(r.reportedEnd, rep.Ends[n-1].N)
 	}
-	r.ownerKnowsEnd = r.ownerKnowsEnd || rep.Gone
+	r.ownerKnowsEnd = r.ownerKnowsEnd || rep.Cut && r.lease.leaving
 	r.lease.ownerReplied(sent, reply.Renew, rep.Cut)
 	return true
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -54,10 +54,11 @@
 	// there is none.
 	worker       work.Worker
 	heartbeatSeq int64
-	// workerEnded says that the worker has ended: no process listens at its address after
-	// its farewell, or another incarnation answers there.
+	// workerEnded says that the worker has ended: another incarnation answers at its
+	// address, or its lease has expired after its farewell.
 	workerEnded bool
-	// ownerKnowsEnd says that the owner has answered a report of that.
+	// ownerKnowsEnd says that the owner has answered a report since the worker's farewell,
+	// so that it knows when the lease expires.
 	ownerKnowsEnd bool
 	// otherBorn is the birth of the incarnation that answered last under the worker's ID
 	// and that has not announced itself, or 0. No order is passed on to it.
@@ -179,7 +180,7 @@
 }
 
 // awaitStored waits until the owner has stored the ends that the worker has so far and, if
-// the worker has said farewell, knows that it has ended, at most endsTimeout.
+// the worker has said farewell, knows of that, at most endsTimeout.
 func (r *Runner) awaitStored() {
 	last, all := r.lastEnd()
 	for until := r.Clock.Now() + endsTimeout; r.Clock.Now() < until; {
@@ -246,6 +247,7 @@
 	case w.Life != r.worker.Life:
 		r.Log.Info(logs.WorkerNew, logs.Fields{"worker": w.ID, "born": w.Born, "before": r.worker.ID})
 		r.reset(w)
+		r.lease.draining = w.Leaving
 		r.heartbeatSeq = sequence
 		signal(r.workerAnnounced)
 	case sequence < r.heartbeatSeq:
@@ -259,7 +261,8 @@
 			signal(r.reportNow)
 		}
 		r.worker, r.heartbeatSeq = w, sequence
-		r.workerEnded, r.lease.leaving = false, false
+		r.workerEnded, r.ownerKnowsEnd, r.lease.leaving = false, false, false
+		r.lease.draining = w.Leaving
 	}
 }
 
@@ -315,16 +318,17 @@
 	signal(r.reportNow)
 }
 
-// checkEnded records that the worker has ended if the error of a call to it proves that:
-// after its farewell no process listens at its address, or another incarnation does. It must
-// be called with the mutex held.
+// checkEnded records that the worker has ended if a failed call to it proves that: another
+// incarnation answers at its address, or its lease has expired after its farewell. That no
+// process listens there any more is no proof, since a process may close its socket before
+// it ends its runs. It must be called with the mutex held.
 func (r *Runner) checkEnded(err error) {
 	proof := ""
 	switch {
 	case errors.Is(err, plat.ErrNotFound):
 		proof = "another incarnation answers"
-	case r.lease.leaving && errors.Is(err, plat.ErrNotListening):
-		proof = "no process listens"
+	case r.lease.leaving && r.lease.maxRemaining(r.Clock.Now()) == 0:
+		proof = "its lease has expired"
 	default:
 		return
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -307,9 +307,15 @@
 // checkWorker releases the placements of an unresponsive worker whose lease has
 // expired and repeats orders that got no answer.
 func (c *Core) checkWorker(w *worker) {
-	if c.now > w.leaseEnd && c.now-w.lastReport > reportTimeout && w.placements.len() > 0 {
-		c.releaseAll(w, "silent")
-		return
+	if c.now > w.leaseEnd && w.placements.len() > 0 {
+		switch {
+		case w.unresponsive:
+			c.releaseAll(w, "lease")
+			return
+		case c.now-w.lastReport > reportTimeout:
+			c.releaseAll(w, "silent")
+			return
+		}
 	}
 	for _, p := range w.placements.sorted() {
 		switch {
