runner, sched: what a Cut, a late end and an inherited run leave behind

- An order from before a worker was unresponsive, good for 9 s, could start a run that the owner had released with the lease, after 3 to 5 s.
Orders now have to refer to a report since the owner last allowed renewals (orders_test.go).
- An incarnation that inherited runs and whose first report says that its lease is not renewed had no lease by the owner's record, so that its runs were released at once (reborn_test.go).
- A worker whose end was reported and taken back got no new runs for good (silent_test.go).

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -67,6 +67,9 @@
 		r.handleLeaseReply(r.ctx, request, plat.LeaseReply{Born: 900}, r.Clock.Now())
 		next := r.worker
 		next.Born = 900
+		r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
+			return plat.LeaseReply{Born: 900}, nil
+		}
 		r.Heartbeat(next, 1)
 		Expect(r.worker.Born).To(Equal(int64(900)))
 	})
@@ -76,6 +79,9 @@
 		r.leaseRequestFailed(plat.LeaseRequest{Life: r.worker.Life}, plat.ErrNotFound)
 		next := r.worker
 		next.ID, next.Born = "w2", 900
+		r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
+			return plat.LeaseReply{Born: 900}, nil
+		}
 		r.Heartbeat(next, 1)
 		Expect(r.worker.ID).To(Equal("w2"))
 	})
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -18,8 +18,10 @@
 	// mayRenew says that the owner allows the agent to renew the lease. It is reset
 	// when the worker becomes unresponsive, so that the owner can rely on the
 	// expiry of the lease.
-	mayRenew     bool
-	unresponsive bool
+	mayRenew bool
+	// renewableSince is the sending time of the report whose reply last set mayRenew.
+	renewableSince time.Duration
+	unresponsive   bool
 	// leaving says that the worker has said farewell. The lease is not renewed any more,
 	// so that the owner can rely on its expiry.
 	leaving bool
@@ -53,9 +55,10 @@
 }
 
 // orderRecent reports whether an order refers to a report that this process, given
-// by its start time, sent less than OwnerTimeout ago.
+// by its start time, sent less than OwnerTimeout ago and since the owner last allowed it
+// to renew the lease. The owner may have released the runs of older orders meanwhile.
 func (l *lease) orderRecent(now time.Duration, w work.ReportID, process int64) bool {
-	return w.Process == process && now-w.Sent < l.limits.OwnerTimeout
+	return w.Process == process && now-w.Sent < l.limits.OwnerTimeout && w.Sent >= l.renewableSince
 }
 
 // syncClock records a reading of the worker's clock, made between the sending of a request
@@ -126,7 +129,7 @@
 func (l *lease) ownerReplied(sent time.Duration, renew, reportedCut bool) {
 	l.ackedReportAt = max(l.ackedReportAt, sent)
 	l.acked = true
-	if renew && !reportedCut && !l.unresponsive {
-		l.mayRenew = true
+	if renew && !reportedCut && !l.unresponsive && !l.mayRenew {
+		l.mayRenew, l.renewableSince = true, sent
 	}
 }
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -176,3 +176,24 @@
 		Expect(r.otherBorn).To(BeZero())
 	})
 })
+
+// The owner releases the runs of a worker that does not answer once its lease is over, which
+// is earlier than OwnerTimeout. An order from before must not start them after that.
+var _ = Describe("An order from before the worker did not answer", func() {
+	It("starts nothing once the owner allows to renew the lease again", func() {
+		m := &blockingWorker{}
+		r := newRunner(m)
+		run := runOf(otherJob, 0)
+		delayed := newOrder(r, []work.Run{run}, nil)
+		r.mu.Lock()
+		r.lease.workerFailed(r.Clock.Now(), true)
+		r.lease.workerAnswered()
+		time.Sleep(time.Millisecond)
+		r.lease.ownerReplied(r.Clock.Now(), true, false)
+		r.mu.Unlock()
+		Expect(startCodes(r.handleOrder(delayed))).To(Equal([]string{otherJob + " " + string(work.Late)}))
+		Expect(m.startCalled(run)).To(BeFalse())
+		later := newOrder(r, []work.Run{run}, nil)
+		Expect(startCodes(r.handleOrder(later))).To(Equal([]string{otherJob + " " + string(work.Started)}))
+	})
+})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -279,7 +279,7 @@
 	switch {
 	case known.ID == "" || w.Life == known.Life || ended && !earlier:
 		return false
-	case earlier && !ended && w.Born != other:
+	case earlier && !ended && (other == 0 || w.Born != other):
 		return true
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, lastListTimeout)
--- a/internal/sched/reborn_test.go
+++ b/internal/sched/reborn_test.go
@@ -90,4 +90,18 @@
 		s.advance(5 * time.Second)
 		Expect(s.core.Census().Ready).To(Equal(1))
 	})
+	// The first report of the new incarnation that a new owner gets has been sent after its
+	// farewell: the owner knows no lease of it yet.
+	It("are not over if its lease is not renewed any more", func() {
+		job := work.Job{ID: "job", Queue: "serve", Service: "s", Spec: "x", Steps: []work.Step{latencyStep(1, 4)}}
+		s, restart := newCell()
+		restart("w0")
+		s.replaceOwner(job)
+		leaving := s.newReport(s.workers[0])
+		leaving.Worker.Leaving, leaving.Cut, leaving.Left = true, true, 4000
+		s.step(sched.Report{Token: 1, Report: leaving})
+		s.sendReport(s.workers[1])
+		s.step(sched.Tick{})
+		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
+	})
 })
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -101,6 +101,8 @@
 	if earlier.placements.len() > 0 {
 		c.emit(Decision{Kind: "lost", Worker: w.ID, Reason: "reborn", Took: c.now - earlier.lastReport})
 	}
+	// The lease that an order for the earlier incarnation asked for counts here too.
+	w.leaseEnd = max(w.leaseEnd, c.now+c.limits.leaseBound())
 	for _, p := range earlier.placements.sorted() {
 		if p.sentAt == 0 {
 			c.releaseVanished(p, "reborn")
@@ -131,11 +133,11 @@
 			c.releaseAll(w, "lease")
 		}
 	default:
-		if w.unresponsive {
+		if w.unresponsive || w.gone {
 			c.emit(Decision{Kind: "back", Worker: w.ID})
 			c.changes.addWorker(w)
 		}
-		w.unresponsive = false
+		w.unresponsive, w.gone = false, false
 		w.leaseEnd = max(w.leaseEnd, c.now+c.limits.leaseBound())
 	}
 }
--- a/internal/sched/silent_test.go
+++ b/internal/sched/silent_test.go
@@ -68,3 +68,17 @@
 		Expect(started(s)).To(HaveLen(2), "%d runs were lost", n)
 	})
 })
+
+// An agent takes the end of its worker back when the worker sends a heartbeat after all.
+var _ = Describe("A worker whose end was reported", func() {
+	It("gets new runs again after a report that it is there", func() {
+		s := newTestCell(testQueues, 16)
+		ended := s.newReport(s.workers[0])
+		ended.Gone = true
+		s.now += tickInterval
+		ended.Word.Sent = s.now
+		s.step(sched.Report{Token: 1, Report: ended})
+		s.advance(time.Second)
+		Expect(s.core.Census().Ready).To(Equal(1))
+	})
+})
