agent: an attempt that gets no answer reaches the minion once

Found by the audit, which looked for the same class of fault elsewhere: a silence that is taken for an answer. The HTTP client repeats a GET, PUT or DELETE by itself when a kept connection is closed without an answer, also a request with an Idempotency-Key or one that its caller declares not to be idempotent: the minion ran it twice. Such a request now gets a connection of its own, on which the client repeats nothing.

Tried before, and without effect on these repetitions: SetRetryIfFunc, one attempt in the client's retry settings, a body that is a stream.

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -173,6 +174,11 @@
 	req.Header.Set("Lagoon-Request", c.ID)
 	req.Header.Set("Lagoon-Attempt", fmt.Sprint(c.Attempt))
 	req.SetBody(c.Body)
+	if !c.Idempotent && c.Method != http.MethodPost {
+		// When a kept connection is closed without an answer, the client repeats a request
+		// by itself, unless its method is POST.
+		req.SetConnectionClose()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), minionTimeoutFactor*budget)
 	defer cancel()
 	if err := a.http.Do(ctx, req, resp); err != nil {
