sched, leader: an owner that the store does not confirm stops prolonging leases

An owner that was cut off from the store and the other entries, but not from some agents, answered their reports with leave to renew for as long as the cut lasted. Its successor released their runs 14.15 s after it had loaded the state, and started their tasks elsewhere while they were at work.

An owner now allows renewals only for 4 s after the sending of a call by which the store has confirmed its ownership: a commit, or a read of the ownership row, which it makes when a second has passed without a commit. A reply without leave no longer counts as contact at the agent. A new owner adds the 4 s to the bound of the leases that it finds. During an outage of the store for all, runs go on for 4 + 9 + 5 s. The longest time that a duration of a worker's clock takes on the owner's is now computed exactly; the error was 2 ms in 5 s.

The tests' cells and the chaos tests now say when the store confirms an owner.

--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -131,7 +131,8 @@
 	}
 	// The core has processed the report, but the task ends in it are not stored
 	// yet: the reply acknowledges none, so the agent reports them again.
-	return work.Reply{Term: t.number, Renew: !r.Cut}, nil
+	renew := !r.Cut && l.Limits.WithDefaults().MayRenew(l.Clock.Now(), time.Duration(t.confirmedAt.Load()))
+	return work.Reply{Term: t.number, Renew: renew}, nil
 }
 
 // Resign ends this process's ownership in a planned stop, and reports whether the
--- a/internal/leader/claim.go
+++ b/internal/leader/claim.go
@@ -96,6 +96,7 @@
 func (l *Leader) confirmClaim(ctx context.Context, claimed ownership) (*term, error) {
 	c, cancel := context.WithTimeout(ctx, 4*l.StoreTimeout.For(l.Clock.Now(), callTimeout))
 	defer cancel()
+	sent := l.Clock.Now()
 	got, row, _, err := readRow[ownership](c, l.Rows, ownershipKey)
 	if err != nil {
 		return nil, err
@@ -104,7 +105,7 @@
 	if got != claimed {
 		return nil, nil
 	}
-	return l.loadClaimed(ctx, claimed, row)
+	return l.loadClaimed(ctx, claimed, row, sent)
 }
 
 // setClaimedTerm records the term that this process claims, or 0 once it has loaded the
@@ -131,16 +132,18 @@
 
 // loadClaimed loads the state of a cell that this process has claimed. A load that fails
 // is made again while the ownership row stands: a new claim would begin with the same
-// load. The term is nil if another process has claimed the cell in the meantime.
-func (l *Leader) loadClaimed(ctx context.Context, claimed ownership, row plat.Row) (*term, error) {
+// load. The term is nil if another process has claimed the cell in the meantime. The call
+// that confirmed the claim was sent at confirmedAt.
+func (l *Leader) loadClaimed(ctx context.Context, claimed ownership, row plat.Row, confirmedAt time.Duration) (*term, error) {
 	for failed := 0; ; {
-		t, err := l.load(ctx, claimed, row)
+		t, err := l.load(ctx, claimed, row, confirmedAt)
 		if err == nil || ctx.Err() != nil || l.hasResigned() {
 			return t, err
 		}
 		l.storeFailed("load state", err)
 		clock.Sleep(ctx, retryDelay)
 		c, cancel := l.withTimeout(ctx)
+		sent := l.Clock.Now()
 		got, _, _, err := readRow[ownership](c, l.Rows, ownershipKey)
 		cancel()
 		if err != nil {
@@ -151,6 +154,7 @@
 			l.observe(got)
 			return nil, nil
 		}
+		confirmedAt = sent
 		if failed++; failed == maxLoads {
 			return nil, errLoadFailed
 		}
@@ -158,7 +162,7 @@
 }
 
 // load reads the state of the cell and returns the claimed term.
-func (l *Leader) load(ctx context.Context, claimed ownership, row plat.Row) (*term, error) {
+func (l *Leader) load(ctx context.Context, claimed ownership, row plat.Row, confirmedAt time.Duration) (*term, error) {
 	loading := l.rowsForLoading()
 	_, markRow, _, err := readRow[commitMark](ctx, loading, commitMarkKey)
 	if err != nil {
@@ -168,6 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
+	found.ConfirmedAt = confirmedAt
 	now := l.Clock.Now()
 	t := newTerm(ctx, claimed.Term, sched.New(l.Limits, claimed.Term, now, stamp.Now-now, found, l.Config()))
 	t.ownershipRow, t.commitMarkRow, t.feedVersion = row, markRow, stamp.Version
@@ -223,6 +228,7 @@
 	t.loops.Go(func() { l.loopCommits(t) })
 	t.loops.Go(func() { l.loopTicks(t) })
 	t.loops.Go(func() { l.loopFeed(t) })
+	t.loops.Go(func() { l.loopConfirm(t) })
 	l.step(t, sched.Tick{})
 	l.announceToUnresponsive(t)
 	t.loops.Wait()
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -210,16 +210,20 @@
 	}
 }
 
-// verifyTerm reads the ownership row and ends the term if another process has
-// taken the cell over.
+// verifyTerm reads the ownership row, and tells the core that it is confirmed or ends the
+// term if another process has taken the cell over.
 func (l *Leader) verifyTerm(t *term) {
 	ctx, cancel := l.withTimeout(t.ctx)
 	defer cancel()
-	owner, row, _, err := readRow[ownership](ctx, l.Rows, ownershipKey)
+	sent := l.Clock.Now()
+	owner, row, _, err := readRow[ownership](ctx, l.RowsWithRelay, ownershipKey)
 	if err != nil {
 		l.storeFailed("read title", err)
 		return
 	}
+	if row.Version == t.ownershipRow.Version {
+		l.step(t, sched.Confirmed{Sent: sent})
+	}
 	if row.Version != t.ownershipRow.Version {
 		l.Log.Info(logs.CellLost, logs.Fields{"term": t.number, "by": owner.Addr, "newer": owner.Term})
 		l.observe(owner)
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -277,6 +277,24 @@
 	return m == commitMark{Term: t.number, Seq: seq}, nil
 }
 
+// confirmInterval is how often the owner has its ownership confirmed by the store, unless
+// a commit does so.
+const confirmInterval = time.Second
+
+// loopConfirm reads the ownership row while no commits confirm the ownership. An owner that
+// the store does not confirm stops to allow renewals of leases.
+func (l *Leader) loopConfirm(t *term) {
+	for {
+		if l.Clock.Now()-time.Duration(t.confirmedAt.Load()) > confirmInterval {
+			l.verifyTerm(t)
+		}
+		clock.Sleep(t.ctx, confirmInterval)
+		if t.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
 // loopFeed reads new rows of accepted, cancelled and rejected jobs, so that none is
 // lost if an entry ends before it has notified the owner.
 func (l *Leader) loopFeed(t *term) {
--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -102,6 +102,8 @@
 	// resumed is closed when a suspended process resumes, and nil before the first
 	// suspension. A suspended process sends nothing and answers nothing.
 	resumed atomic.Pointer[chan struct{}]
+	// cutOff says that the process reaches neither the store nor the other entries.
+	cutOff atomic.Bool
 }
 
 func (n *node) running() bool { return n.ctx.Err() == nil }
@@ -209,7 +211,7 @@
 	wait := func(ctx context.Context) error {
 		n.awaitResume()
 		clock.Sleep(ctx, storeLatency)
-		if f.isStoreDown() {
+		if f.isStoreDown() || n.cutOff.Load() {
 			<-ctx.Done()
 		}
 		if ctx.Err() != nil || !n.running() {
@@ -373,7 +375,7 @@
 			}
 			asked := n.Clock.Now()
 			time.Sleep(networkLatency)
-			if !o.running() || o.suspended() {
+			if !o.running() || o.suspended() || o.cutOff.Load() || n.cutOff.Load() {
 				continue
 			}
 			f.mu.Lock()
@@ -678,3 +680,35 @@
 		f.expectStartedOnce(g, noReruns)
 	})
 }
+
+// An owner that is cut off from the store and from the other entries is replaced. Its
+// successor starts the tasks of silent agents elsewhere after a time that begins with the
+// takeover, so the old owner must not go on prolonging the leases of the agents that it
+// still reaches.
+func TestOwnerWithoutStoreProlongsNoLease(t *testing.T) {
+	limits := sched.Limits{}.WithDefaults()
+	runFleetTest(t, func(g *WithT, f *fleet) {
+		old := f.owner()
+		a := f.newAgent(9)
+		reply, err := old.Report(a.buildReport())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Renew).To(BeTrue())
+		old.cutOff.Store(true)
+		renewedAt := time.Now()
+		cutAt := renewedAt
+		for time.Since(cutAt) < 2*(limits.OwnerTimeout+limits.Lease) {
+			time.Sleep(reportInterval)
+			if reply, err := old.Report(a.buildReport()); err == nil && reply.Renew {
+				renewedAt = time.Now()
+			}
+		}
+		successors := 0
+		for _, n := range f.nodes {
+			if n != old && n.Owns() {
+				successors++
+			}
+		}
+		g.Expect(successors).To(Equal(1), "the cell has a new owner")
+		g.Expect(renewedAt.Sub(cutAt)).To(BeNumerically("<", limits.OwnerTimeout), "the last reply that allows a renewal")
+	})
+}
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -29,6 +29,8 @@
 	// and not learned yet that it is stored.
 	commitSince atomic.Int64
 	committing  atomic.Bool
+	// confirmedAt is the core's ConfirmedAt, in nanoseconds.
+	confirmedAt atomic.Int64
 	// feedVersion is the store's version up to which the feed of jobs was read.
 	feedVersion uint64
 	ctx         context.Context
@@ -71,6 +73,7 @@
 func newTerm(ctx context.Context, number uint64, core *sched.Core) *term {
 	t := &term{number: number, core: core, commits: make(chan sched.Commit, 1), replies: map[uint64]chan work.Reply{}, handled: map[uint64]bool{}, maxDemand: inbox.MaxDemand, wake: make(chan struct{}, 1)}
 	t.ctx, t.cancel = context.WithCancel(ctx)
+	t.confirmedAt.Store(int64(core.ConfirmedAt()))
 	return t
 }
 
@@ -287,6 +290,7 @@
 	for _, f := range t.core.Step(l.Clock.Now(), events...) {
 		l.perform(t, f)
 	}
+	t.confirmedAt.Store(int64(t.core.ConfirmedAt()))
 	// A report that the core rejects has its reply by now. The others may be answered
 	// before their ends are stored.
 	t.markHandled(events)
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -127,9 +127,13 @@
 // says that the owner allows the agent to renew the lease, and reportedCut that the
 // report called the worker unresponsive: such a reply allows no renewal.
 func (l *lease) ownerReplied(sent time.Duration, renew, reportedCut bool) {
+	if !renew {
+		// Either the worker does not answer, or the owner may have been replaced.
+		return
+	}
 	l.ackedReportAt = max(l.ackedReportAt, sent)
 	l.acked = true
-	if renew && !reportedCut && !l.unresponsive && !l.mayRenew {
+	if !reportedCut && !l.unresponsive && !l.mayRenew {
 		l.mayRenew, l.renewableSince = true, sent
 	}
 }
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -32,6 +32,8 @@
 	// contact with the owner an agent goes on renewing it.
 	lease   = 1500 * time.Millisecond
 	timeout = 2 * time.Second
+	// storeTrust is how long an owner allows renewals without the store.
+	storeTrust = time.Second
 	// maxAttempts is the number of failed runs at which a job fails.
 	maxAttempts = 3
 	// retention is how long ended jobs are kept: it ends within a sequence.
@@ -236,7 +238,7 @@
 // startOwner starts a new owner from the stored rows.
 func (w *world) startOwner() {
 	w.currentTerm++
-	stored := sched.StoredRows{Versions: map[string]uint64{}, Learned: map[string][]byte{}}
+	stored := sched.StoredRows{ConfirmedAt: w.now, Versions: map[string]uint64{}, Learned: map[string][]byte{}}
 	var progress []plat.Row
 	for _, k := range slices.Sorted(maps.Keys(w.rows)) {
 		v := w.rows[k]
@@ -262,7 +264,7 @@
 		}
 	}
 	slices.Sort(stored.Orphans)
-	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow}
+	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow}
 	o := &owner{core: sched.New(l, w.currentTerm, w.now, 0, stored, w.config()), term: w.currentTerm, lastStates: map[string]string{}}
 	w.owners = append(w.owners, o)
 	w.logf("owner %d", o.term)
@@ -770,8 +772,10 @@
 		return
 	}
 	r.term = reply.Term
-	r.joined, r.contact, r.heard = true, max(r.contact, sent), r.heard.Latest(reply.Now)
-	r.renew = reply.Renew
+	r.heard = r.heard.Latest(reply.Now)
+	if reply.Renew {
+		r.joined, r.renew, r.contact = true, true, max(r.contact, sent)
+	}
 	r.acknowledge(reply.Noted, w)
 }
 
@@ -911,6 +915,9 @@
 		}
 		if int(w.now/stepInterval)%5 == 0 {
 			for _, o := range w.owners {
+				if o.term == w.currentTerm && w.now >= w.storeDownUntil {
+					w.step(o, sched.Confirmed{Sent: w.now})
+				}
 				w.step(o, sched.Tick{})
 			}
 		}
--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -92,7 +92,7 @@
 	}
 	t.writes = append(t.writes, c.saveLearned()...)
 	c.commitSeq++
-	c.commitInflight = true
+	c.commitInflight, c.commitIssuedAt = true, c.now
 	for len(c.onDirtyStored) > 0 && c.onDirtyStored[0].after <= c.dirtyTaken {
 		c.onInflightStored = append(c.onInflightStored, c.onDirtyStored[0].call)
 		c.onDirtyStored = c.onDirtyStored[1:]
@@ -164,6 +164,7 @@
 		return
 	}
 	c.commitInflight = false
+	c.confirmedAt = max(c.confirmedAt, c.commitIssuedAt)
 	callbacks := c.onInflightStored
 	c.onInflightStored = nil
 	for _, f := range callbacks {
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -79,7 +79,9 @@
 	onInflightStored []func()
 	commitSeq        uint64
 	commitInflight   bool
-	packer           work.Packer
+	// commitIssuedAt is when the transaction in flight was issued.
+	commitIssuedAt time.Duration
+	packer         work.Packer
 	// changes limits the next scheduling pass to what may be placed now and could
 	// not be before.
 	changes changeSet
@@ -114,9 +116,10 @@
 	// admitted holds long-running jobs that were admitted and whose rows have not
 	// been seen yet.
 	admitted map[string]admittedJob
-	// termStart is when the term began.
-	termStart time.Duration
-	advice    adviceCache
+	// termStart is when the term began, and confirmedAt a time since which the store has
+	// confirmed the ownership of the cell.
+	termStart, confirmedAt time.Duration
+	advice                 adviceCache
 	// bestEffortBacklog says that more best-effort tasks wait than can be placed
 	// soon.
 	bestEffortBacklog bool
@@ -141,6 +144,9 @@
 	// Barred lists the jobs whose progress can't be read. They must not run, since their
 	// tasks may have run.
 	Barred []string
+	// ConfirmedAt is when the call was sent in answer to which the store last confirmed the
+	// new owner's ownership.
+	ConfirmedAt time.Duration
 	// Learned holds the rows with what earlier owners have learned, by their keys.
 	Learned map[string][]byte
 }
@@ -164,6 +170,7 @@
 		purger:         purger{deleting: map[string]bool{}, deleted: map[string]deletedJob{}},
 		admitted:       map[string]admittedJob{},
 		termStart:      now,
+		confirmedAt:    stored.ConfirmedAt,
 		changes:        changeSet{all: true, rebuild: true},
 	}
 	c.configure(config)
@@ -224,6 +231,8 @@
 		c.handleCommitted(e.Seq)
 	case Advice:
 		c.handleAdvice(e)
+	case Confirmed:
+		c.confirmedAt = max(c.confirmedAt, e.Sent)
 	case Tick:
 		c.tick()
 	}
@@ -235,6 +244,9 @@
 // storeMillis returns the store's time in milliseconds.
 func (c *Core) storeMillis() int64 { return (c.now + c.storeOffset).Milliseconds() }
 
+// ConfirmedAt returns a time since which the store has confirmed the ownership.
+func (c *Core) ConfirmedAt() time.Duration { return c.confirmedAt }
+
 // Term returns the owner's term.
 func (c *Core) Term() uint64 { return c.term }
 
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -65,6 +65,10 @@
 	Asked []string
 }
 
+// Confirmed reports that the store has confirmed this owner's ownership of the cell, in
+// answer to a call that was sent at a time.
+type Confirmed struct{ Sent time.Duration }
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -78,6 +82,7 @@
 func (Configure) event()      {}
 func (Committed) event()      {}
 func (Advice) event()         {}
+func (Confirmed) event()      {}
 func (Tick) event()           {}
 
 // Effect is an action that the caller of Step has to carry out.
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -8,6 +8,9 @@
 	// Lease is how long a worker keeps running without a renewal by its agent, and
 	// OwnerTimeout how long an agent renews without a reply from the owner.
 	Lease, OwnerTimeout time.Duration
+	// StoreTrust is how long after the store has confirmed its ownership an owner goes on
+	// allowing renewals. Another owner may have taken the cell over since.
+	StoreTrust time.Duration
 	// SlowLink says that the owner's link to the store is slow: rows are packed, and
 	// transactions kept small, so that pings and orders do not wait behind them.
 	SlowLink bool
@@ -26,6 +29,9 @@
 	// connection to them. During network cuts of 12 s less work was lost with it
 	// than with 6 s.
 	defaultOwnerTimeout = 9 * time.Second
+	// defaultStoreTrust lets runs continue during an outage of the store of 13 s, together
+	// with defaultOwnerTimeout.
+	defaultStoreTrust = 4 * time.Second
 	// defaultEndedJobRetention is above the two minutes for which ended jobs must
 	// remain available.
 	defaultEndedJobRetention = 150 * time.Second
@@ -48,6 +54,7 @@
 func (l Limits) WithDefaults() Limits {
 	l.Lease = orDefault(l.Lease, defaultLease)
 	l.OwnerTimeout = orDefault(l.OwnerTimeout, defaultOwnerTimeout)
+	l.StoreTrust = orDefault(l.StoreTrust, defaultStoreTrust)
 	l.EndedJobRetention = orDefault(l.EndedJobRetention, defaultEndedJobRetention)
 	l.RowBytes = orDefault(l.RowBytes, defaultRowBytes)
 	l.TasksPerRow = orDefault(l.TasksPerRow, defaultTasksPerRow)
@@ -57,9 +64,13 @@
 // maxOwnerTime returns the longest time on the owner's clock that a duration on a
 // worker's clock can take.
 func maxOwnerTime(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 + maxDrift))
+	return time.Duration(float64(d) / (1 - maxDrift))
 }
 
+// MayRenew reports whether an owner may allow renewals, given when the store last confirmed
+// its ownership.
+func (l Limits) MayRenew(now, confirmedAt time.Duration) bool { return now-confirmedAt < l.StoreTrust }
+
 // leaseBound returns the longest time that a worker can keep running after the
 // owner's last reply to its agent.
 func (l Limits) leaseBound() time.Duration {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -144,7 +144,7 @@
 
 // replyToReport replies once the ends in the report are stored.
 func (c *Core) replyToReport(w *worker, e Report) {
-	r := work.Reply{Term: c.term, Renew: !e.Cut && !w.gone, About: c.describeRuns(w, e.Asks)}
+	r := work.Reply{Term: c.term, Renew: !e.Cut && !w.gone && c.limits.MayRenew(c.now, c.confirmedAt), About: c.describeRuns(w, e.Asks)}
 	r.Press, r.Bases = c.interferenceOn(w)
 	c.afterStored(func() {
 		r.Noted, r.Now = w.storedEnd, c.moment()
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -53,7 +53,8 @@
 	}
 	for _, ps := range ts.Places {
 		w := c.ensureWorker(ps.Life, ps.Agent)
-		w.leaseEnd = max(w.leaseEnd, c.now+c.limits.leaseBound())
+		// The owner before may not know yet that it was replaced.
+		w.leaseEnd = max(w.leaseEnd, c.now+c.limits.StoreTrust+c.limits.leaseBound())
 		p := newPlacement(t, ps.Run, w)
 		p.stored, p.adopted, p.multipleOrders, p.sentAt = true, true, true, c.now+1
 		if t.done || j.failed {
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -128,6 +128,9 @@
 			}
 			s.sendReport(w)
 		}
+		if !s.storeDown {
+			s.step(sched.Confirmed{Sent: s.now})
+		}
 		s.step(sched.Tick{})
 	}
 }
@@ -230,7 +233,7 @@
 	}
 	progress, unknown := sched.ReadProgress(rows, func(key string, err error) { panic(fmt.Sprint(key, err)) })
 	s.term++
-	s.core = sched.New(s.limits, 1+s.term, s.now, 0, sched.StoredRows{Jobs: jobs, Progress: progress, Barred: unknown, Learned: s.learnedRows}, s.config)
+	s.core = sched.New(s.limits, 1+s.term, s.now, 0, sched.StoredRows{Jobs: jobs, ConfirmedAt: s.now, Progress: progress, Barred: unknown, Learned: s.learnedRows}, s.config)
 }
 
 // setStoreDown stops or resumes the answers to commits.
