sched, runner: tests of the audit for faults that are fixed

Three specs of the audit pass on the present code and are kept: the first report of an agent's process that was delayed, a lease by the clock of an earlier incarnation, and an inherited run that the earlier incarnation had answered not to start again.

--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lagoonrack/internal/plat"
 	"lagoonrack/internal/sched"
 )
 
@@ -51,3 +52,24 @@
 		Expect(l.maxRemaining(2 * time.Second)).To(Equal(before))
 	})
 })
+
+// A worker that starts again under its ID has a clock that begins anew, and takes a lease
+// up to a time of the clock before for as long as leases may last: 10 s instead of 5 s. It
+// forgets ends of its own up to a number of the incarnation before.
+var _ = Describe("The lease of a worker that has started again under its ID", func() {
+	It("is not renewed by the clock of the incarnation before, and no end is acknowledged", func() {
+		r := newRunner(&blockingWorker{})
+		r.reportNow = make(chan struct{}, 1)
+		r.storedEnd = 57
+		request, ok := r.nextLeaseRequest()
+		Expect(ok).To(BeTrue())
+		Expect(request.Until).NotTo(BeZero())
+		r.handleLeaseReply(r.ctx, request, plat.LeaseReply{Born: r.worker.Born + 1, Clock: time.Millisecond}, r.Clock.Now())
+		request, ok = r.nextLeaseRequest()
+		if !ok {
+			return // nothing is requested before the worker has announced itself
+		}
+		Expect(request.Until).To(BeZero())
+		Expect(request.Seen).To(BeZero())
+	})
+})
--- a/internal/sched/reborn_test.go
+++ b/internal/sched/reborn_test.go
@@ -104,4 +104,24 @@
 		s.step(sched.Tick{})
 		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
 	})
+	// The earlier incarnation had answered that it started or cancelled the run before. That
+	// says nothing of the present one, where a call without an answer may still start it.
+	It("are stopped there also if the one before had answered that they do not start again", func() {
+		s := newTestCell(testQueues, 16, 16)
+		s.startsRepeated = true
+		s.submit("job", "serve", latencyStep(1, 4))
+		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
+		s.startsRepeated = false
+		s.now += tickInterval
+		w := s.workers[0]
+		late := w.runs
+		w.runs = map[work.Run]*testRun{}
+		w.Born++
+		w.Leaving = true // its task can only be placed on the other worker
+		s.sendReport(w)
+		w.runs = late // the late call arrives
+		s.sendReport(s.workers[1])
+		s.step(sched.Tick{})
+		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
+	})
 })
--- a/internal/sched/stale_test.go
+++ b/internal/sched/stale_test.go
@@ -88,6 +88,40 @@
 		s.advance(500 * time.Millisecond)
 		Expect(s.tasksPerWorker("job")).To(Equal([]int{1}))
 	})
+	// The first report of an agent's process has no earlier one to compare its transit time
+	// with. Its list is from before a start that the process before had sent was carried out.
+	It("releases no run if it is the first of the agent's process", func() {
+		s := newTestCell(testQueues, 16, 16)
+		s.stopDuration = 900 * time.Millisecond
+		s.advance(time.Second)
+		w := s.workers[0]
+		s.resultsLost = true
+		s.submit("job", "short", shortStep(1, false))
+		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}))
+		carriedOutLate := w.runs
+		w.runs = map[work.Run]*testRun{}
+		w.process = 1
+		s.challenge = 0
+		s.step(sched.Report{Token: 1, Report: s.newReport(w)})
+		Expect(s.challenge).NotTo(BeZero())
+		w.echo = s.challenge
+		delayed := s.newReport(w)
+		w.runs = carriedOutLate
+		for until := s.now + 1300*time.Millisecond; s.now < until; {
+			s.now += tickInterval
+			s.sendReport(s.workers[1])
+			s.step(sched.Tick{})
+		}
+		// The order that was repeated meanwhile answers no report of the new process.
+		s.resultsLost = false
+		for r := range w.runs {
+			s.step(sched.Results{Results: work.Results{Life: w.Life, Starts: []work.Result{{Run: r, Code: work.Late}}}})
+		}
+		s.now += tickInterval
+		s.step(sched.Report{Token: 1, Report: delayed})
+		s.step(sched.Tick{})
+		Expect(s.tasksPerWorker("job")).To(Equal([]int{1, 0}), "the run is still being stopped")
+	})
 	It("with a repeated old list of runs does not count as a stall", func() {
 		s := newTestCell(testQueues, 16, 16)
 		s.submit("job", "short", shortStep(1, false))
