--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -125,7 +125,11 @@
 		c.releaseAll(w, "gone")
 	case e.Cut:
 		if !w.unresponsive {
-			c.emit(Decision{Kind: "cut", Worker: w.ID, Reason: "no answer", Took: time.Duration(e.Left) * time.Millisecond})
+			reason := "no answer"
+			if e.Listed {
+				reason = "farewell"
+			}
+			c.emit(Decision{Kind: "cut", Worker: w.ID, Reason: reason, Took: time.Duration(e.Left) * time.Millisecond})
 		}
 		w.unresponsive = true
 		w.leaseEnd = min(w.leaseEnd, c.now+maxOwnerTime(time.Duration(e.Left)*time.Millisecond)+messageMargin)
