internal/sched/chaosagent_test.go: the agents of the chaos tests know what internal/runner knows

The model let agents see their workers' state. Its agents now go by heartbeats, farewells and the answers to lease requests, which may be lost, late or from another incarnation under the same ID. Workers say farewell and go on, answer no call for a while, and have clocks of their own. Reports are sent one at a time, repeat old lists with their age, and the first one that an owner gets from a process may be late. Jobs are submitted again.

The tests fail on the present code. Trials on scratch copies name four causes: the lease request names ends of the incarnation before; ends are handled before the runs are inherited; a first report with Cut releases all; ends noted by a deposed owner are acknowledged.

--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -46,15 +46,21 @@
 	up       bool
 	draining bool
 	size     vect.Size
+	// startedAt is when the worker's clock was 0, and clockRate its rate.
+	startedAt time.Duration
+	clockRate float64
+	// leaseEnd is by the worker's clock.
 	leaseEnd time.Duration
-	runs     map[work.Run]*workerRun
+	// beats is the number of heartbeats. The worker answers no calls before silentUntil.
+	beats       int64
+	silentUntil time.Duration
+	runs        map[work.Run]*workerRun
 	// highestRun is the highest run number of each task that was started or stopped
 	// here. The worker starts no run up to it.
 	highestRun map[string]int64
 	ends       []work.End
-	// lastEnd is the number of the newest end, and ackedEnd the highest that the owner
-	// has acknowledged as stored.
-	lastEnd, ackedEnd int64
+	// lastEnd is the number of the newest end.
+	lastEnd int64
 	// highestTerm is the highest term that the worker has seen; it rejects lower ones.
 	highestTerm uint64
 	// lapsedEnd is the newest end at the time when the lease last expired. An end up to
@@ -62,18 +68,7 @@
 	lapsedEnd int64
 	// partitioned says that no message passes between the agent and owners.
 	partitioned bool
-	// The fields below are the state of the agent. term is the highest term that it has
-	// seen, and contact when it sent the newest report that an owner has answered.
-	// joined says that there was such a report, and renew that the owner's last reply
-	// allows the agent to renew the lease.
-	term    uint64
-	contact time.Duration
-	joined  bool
-	renew   bool
-	// process counts the starts of the agent.
-	process int64
-	// echo is the newest challenge that this process of the agent received.
-	echo uint64
+	agent
 }
 
 // workerRun is a run on a worker.
@@ -213,22 +208,26 @@
 	}}
 }
 
-// startWorker starts a new incarnation of a worker.
+// startWorker starts a new incarnation of a worker, in most cases under its ID. The agent
+// learns of it by its first heartbeat.
 func (w *world) startWorker(r *node) {
 	w.killWorker(r)
 	r.born++
+	if r.born > 1 && w.rng.IntN(4) == 0 {
+		r.id = fmt.Sprintf("w%s-%d", r.addr, r.born)
+	}
 	r.up, r.draining = true, false
 	r.runs, r.highestRun = map[work.Run]*workerRun{}, map[string]int64{}
-	r.ends, r.lastEnd, r.ackedEnd, r.lapsedEnd, r.highestTerm = nil, 0, 0, 0, 0
-	r.leaseEnd = 0
-	r.restartAgent()
-}
-
-// restartAgent starts a new process of the agent, which has lost its state.
-func (r *node) restartAgent() {
-	r.term, r.joined, r.renew, r.contact = 0, false, false, 0
-	r.process++
-	r.echo = 0
+	r.ends, r.lastEnd, r.lapsedEnd, r.highestTerm = nil, 0, 0, 0
+	r.startedAt, r.clockRate, r.leaseEnd = w.now, slowestClock+(1-slowestClock)*w.rng.Float64(), 0
+	r.beats, r.silentUntil = 0, 0
+	w.logf("%s starts, born %d", r.id, r.born)
+	born := r.born
+	w.after(time.Duration(w.rng.Int64N(int64(firstHeartbeat))), func() {
+		if r.born == born {
+			w.beat(r)
+		}
+	})
 }
 
 // startOwner starts a new owner from the stored rows.
@@ -413,58 +412,15 @@
 	})
 }
 
-// handleOrder carries out an order as an agent and its worker do.
-func (w *world) handleOrder(r *node, o work.Order) work.Results {
-	results := work.Results{Life: o.Life, Term: r.term}
-	code := work.Code("")
-	switch {
-	case o.Term < r.term:
-		code = work.Fenced
-	case o.Life != (work.Life{ID: r.id, Born: r.born}) || !r.up:
-		code = work.OtherIncarnation
-	}
-	if code == "" && o.Term < r.highestTerm {
-		code = work.Fenced
-	}
-	if code == "" {
-		r.term = o.Term
-		r.acknowledge(o.Noted, w)
-	}
-	for _, s := range o.Starts {
-		c := code
-		switch {
-		case c != "":
-		case r.draining:
-			c = work.Leaving
-		case !r.renews(w.now) || o.Word.Process != r.process || w.now-o.Word.Sent >= timeout:
-			c = work.Late
-		default:
-			c = w.handleStart(r, s, o)
-		}
-		results.Starts = append(results.Starts, work.Result{Run: s.Run, Code: c})
-	}
-	for _, s := range o.Stops {
-		if code == "" && !w.chance(0.05) {
-			w.handleStop(r, s)
-			results.Stops = append(results.Stops, s)
-		}
-	}
-	return results
-}
-
-// renews reports whether the agent renews the worker's lease: the owner allowed it and
-// the last contact is recent enough.
-func (r *node) renews(now time.Duration) bool { return r.joined && r.renew && now-r.contact < timeout }
-
-// acknowledge handles the owner's acknowledgement that ends up to n are stored: the
-// worker drops them.
-func (r *node) acknowledge(n int64, w *world) {
-	if r.term < r.highestTerm {
-		return
-	}
-	r.highestTerm = r.term
+// forgetEnds handles a lease request that says that ends up to n are stored: the worker
+// drops them.
+func (r *node) forgetEnds(n int64, w *world) {
 	for _, e := range r.ends {
-		if e.N <= max(r.ackedEnd, r.lapsedEnd) || e.N > n {
+		if e.N > n {
+			continue
+		}
+		w.logf("%s forgets end %d, of %s run %d", r.id, e.N, e.Task, e.Num)
+		if e.N <= r.lapsedEnd {
 			continue
 		}
 		switch e.How {
@@ -476,8 +432,7 @@
 			w.taskHistory(e.Task).lastAck = w.now
 		}
 	}
-	r.ackedEnd = max(r.ackedEnd, n)
-	r.ends = slices.DeleteFunc(r.ends, func(e work.End) bool { return e.N <= r.ackedEnd })
+	r.ends = slices.DeleteFunc(r.ends, func(e work.End) bool { return e.N <= n })
 }
 
 // taskHistory returns the history of a task, which it creates if needed.
@@ -490,25 +445,6 @@
 	return h
 }
 
-// handleStart orders the worker to start a run. Now and then the order reaches the
-// worker late, after the agent has stopped the run; then it must have no effect.
-func (w *world) handleStart(r *node, s work.Start, o work.Order) work.Code {
-	leaseEnd := w.now + lease
-	if w.chance(0.05) {
-		born := r.born
-		w.after(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() {
-			if r.born == born && r.up && w.now < leaseEnd {
-				w.launch(r, s, o)
-			}
-		})
-		// The agent stops the run, since the worker did not answer in time.
-		w.handleStop(r, s.Run)
-		return work.OldRun
-	}
-	r.leaseEnd = max(r.leaseEnd, leaseEnd)
-	return w.launch(r, s, o)
-}
-
 // launch starts a run on a worker, unless the worker has to refuse it.
 func (w *world) launch(r *node, s work.Start, o work.Order) work.Code {
 	if r.runs[s.Run] != nil {
@@ -715,81 +651,24 @@
 	return maximum
 }
 
-// sendReport sends an agent's report to the newest owner, or now and then to an earlier
-// one.
-func (w *world) sendReport(r *node) {
-	if r.partitioned || !r.up || w.chance(0.05) {
-		return
-	}
-	o := w.currentOwner()
-	if w.chance(0.05) && len(w.owners) > 1 {
-		o = w.owners[w.rng.IntN(len(w.owners))]
-	}
-	report := work.Report{
-		Word:  work.ReportID{Process: r.process, Sent: w.now, Echo: r.echo},
-		Agent: r.addr, Listed: true, Unix: w.now.Milliseconds(),
-		Worker: work.Worker{Life: work.Life{ID: r.id, Born: r.born}, Service: "s", Size: r.size, Leaving: r.draining, Remaining: 2000},
-		Ends:   slices.Clone(r.ends),
-	}
-	if len(r.ends) >= w.endsPerReport {
-		report.Ends, report.MoreEnds = report.Ends[:w.endsPerReport], true
-	}
-	for _, x := range slices.SortedFunc(maps.Keys(r.runs), func(a, b work.Run) int { return slices.Compare([]byte(a.Task), []byte(b.Task)) }) {
-		percent := 100
-		if y := r.runs[x]; w.speculative && y.endsAt > y.startedAt {
-			percent = int(100 * (w.now - y.startedAt) / (y.endsAt - y.startedAt))
-		}
-		report.Running = append(report.Running, work.Running{Run: x, Percent: percent})
+// tickWorker lets the agent request the lease of a worker and ends its runs that are due to
+// end.
+func (w *world) tickWorker(r *node) {
+	if r.up && r.leaseExpired(w.now) {
+		r.lapsedEnd = r.lastEnd
 	}
-	sent, born, process := w.now, r.born, r.process
-	w.after(w.messageDelay(), func() {
-		if o.dead {
-			return
-		}
-		w.lastToken++
-		token := w.lastToken
-		w.pendingReplies[token] = func(reply work.Reply) {
-			w.after(w.messageDelay(), func() {
-				if reply.Challenge == 0 {
-					w.handleReply(r, reply, sent, born)
-				} else if r.process == process && !r.partitioned {
-					r.echo = reply.Challenge
-				}
-			})
-		}
-		w.step(o, sched.Report{Token: token, Report: report})
-	})
-}
-
-// handleReply handles an owner's reply to the report that the agent sent at the given
-// time.
-func (w *world) handleReply(r *node, reply work.Reply, sent time.Duration, born int64) {
-	if r.partitioned || reply.Term < r.term || r.born != born || !r.up {
-		return
+	if !r.holding && w.now%leaseInterval == 0 {
+		w.requestLease(r)
 	}
-	r.term = reply.Term
-	r.joined, r.contact = true, max(r.contact, sent)
-	r.renew = reply.Renew
-	r.acknowledge(reply.Noted, w)
-}
-
-// tickWorker renews the lease of a worker and ends its runs that are due to end.
-func (w *world) tickWorker(r *node) {
 	if !r.up {
 		return
 	}
-	if w.now > r.leaseEnd {
-		r.lapsedEnd = r.lastEnd
-	}
-	if r.renews(w.now) && r.term >= r.highestTerm && int(w.now/stepInterval)%10 == 0 {
-		r.leaseEnd = max(r.leaseEnd, w.now+lease)
-	}
-	for _, s := range slices.SortedFunc(maps.Keys(r.runs), func(a, b work.Run) int { return slices.Compare([]byte(a.Task), []byte(b.Task)) }) {
+	for _, s := range r.sortedRuns() {
 		x := r.runs[s]
 		switch {
 		case x == nil:
 			// The run ended together with its gang.
-		case w.now > r.leaseEnd:
+		case r.leaseExpired(w.now):
 			w.endRun(r, s, work.LeaseExpired)
 		case x.stopEnds > 0 && w.now >= x.stopEnds:
 			w.endRun(r, s, work.Stopped)
@@ -813,26 +692,35 @@
 // injectFault injects one random fault or other disturbance, such as cancelled jobs.
 func (w *world) injectFault() {
 	r := w.workers[w.rng.IntN(len(w.workers))]
-	switch w.rng.IntN(10) {
+	switch w.rng.IntN(14) {
+	case 13:
+		w.endWorker(r, 1+w.rng.IntN(200))
+	case 12:
+		w.submitAgain()
+	case 10, 11:
+		w.isolate(r)
 	case 9:
 		w.storeDownUntil = w.now + time.Duration(w.rng.IntN(3000))*time.Millisecond
 	case 8:
 		w.readJobs()
 	case 0:
-		w.killWorker(r)
-		w.after(time.Duration(w.rng.IntN(4000))*time.Millisecond, func() {
-			if !r.up {
-				w.startWorker(r)
-			}
-		})
+		w.endWorker(r, 4000)
 	case 1:
 		r.partitioned = true
 		w.after(time.Duration(w.rng.IntN(6000))*time.Millisecond, func() { r.partitioned = false })
 	case 2, 3:
 		r.restartAgent()
+		for i := range w.rng.IntN(3) {
+			w.after(time.Duration(1+i)*time.Duration(w.rng.IntN(600))*time.Millisecond, r.restartAgent)
+		}
 	case 4:
 		r.draining = true
-		w.after(2*time.Second, func() { w.killWorker(r); w.after(time.Second, func() { w.startWorker(r) }) })
+		born := r.born
+		w.after(time.Duration(w.rng.IntN(2000))*time.Millisecond, func() {
+			if r.born == born {
+				w.sayFarewell(r)
+			}
+		})
 	case 5, 6:
 		previous := w.currentOwner()
 		w.startOwner()
