internal/sched/chaosagent_test.go: farewells without an answer, and agents that start again beside a silent worker

A worker whose farewell gets no answer goes on for longer, and sends no more heartbeats in most cases. An agent reports at once after a challenge, as internal/runner does, and may start again while its worker does not answer.

--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -51,8 +51,10 @@
 	clockRate float64
 	// leaseEnd is by the worker's clock.
 	leaseEnd time.Duration
-	// beats is the number of heartbeats. The worker answers no calls before silentUntil.
+	// beats is the number of heartbeats. A quiet worker sends no more. The worker answers no
+	// calls before silentUntil.
 	beats       int64
+	quiet       bool
 	silentUntil time.Duration
 	runs        map[work.Run]*workerRun
 	// highestRun is the highest run number of each task that was started or stopped
@@ -220,7 +222,7 @@
 	r.runs, r.highestRun = map[work.Run]*workerRun{}, map[string]int64{}
 	r.ends, r.lastEnd, r.lapsedEnd, r.highestTerm = nil, 0, 0, 0
 	r.startedAt, r.clockRate, r.leaseEnd = w.now, slowestClock+(1-slowestClock)*w.rng.Float64(), 0
-	r.beats, r.silentUntil = 0, 0
+	r.beats, r.quiet, r.silentUntil = 0, false, 0
 	w.logf("%s starts, born %d", r.id, r.born)
 	born := r.born
 	w.after(time.Duration(w.rng.Int64N(int64(firstHeartbeat))), func() {
--- a/internal/sched/chaosagent_test.go
+++ b/internal/sched/chaosagent_test.go
@@ -20,18 +20,22 @@
 	// leaseInterval is the time between lease requests, and holdTimeout how long one waits
 	// for its answer.
 	leaseInterval = 200 * time.Millisecond
-	holdTimeout   = 300 * time.Millisecond
+	holdTimeout   = 200 * time.Millisecond
 	// unresponsiveAfter is the time after the first failed lease request at which a worker
 	// counts as unresponsive.
-	unresponsiveAfter = 500 * time.Millisecond
+	unresponsiveAfter = 450 * time.Millisecond
 	// replyTimeout is how long an agent waits for the reply to a report.
 	replyTimeout = 500 * time.Millisecond
 	// maxHold is the longest lease that a worker grants.
 	maxHold = 2 * lease
 	// slowestClock is the rate of the slowest clock of a worker.
 	slowestClock = 0.98
-	// farewellToEnd is the range of the time that a worker goes on after its farewell.
+	// farewellToEnd is the range of the time that a worker goes on after its farewell, and
+	// unheardToEnd the same for one that gets no answer. farewellDelay is the range of the
+	// time that a late farewell takes.
 	farewellToEnd = 1500 * time.Millisecond
+	unheardToEnd  = 4 * time.Second
+	farewellDelay = 2500 * time.Millisecond
 )
 
 // agent is the state of an agent's process.
@@ -94,7 +98,7 @@
 // beat sends the worker's heartbeats from now on until it ends.
 func (w *world) beat(r *node) {
 	born := r.born
-	if !r.up {
+	if !r.up || r.quiet {
 		return
 	}
 	r.beats++
@@ -125,10 +129,16 @@
 		return
 	}
 	w.logf("%s says farewell", r.id)
+	// Without an answer the worker goes on for longer.
+	delay, toEnd := w.messageDelay(), farewellToEnd
+	if w.chance(0.3) {
+		delay, toEnd = time.Duration(w.rng.Int64N(int64(farewellDelay))), unheardToEnd
+	}
 	if !w.chance(0.1) {
-		w.after(w.messageDelay(), func() { w.hearFarewell(r, life.ID) })
+		w.after(delay, func() { w.hearFarewell(r, life.ID) })
 	}
-	w.after(time.Duration(w.rng.Int64N(int64(farewellToEnd))), func() {
+	r.quiet = w.rng.IntN(4) > 0
+	w.after(time.Duration(w.rng.Int64N(int64(toEnd))), func() {
 		if r.born == life.Born {
 			w.endWorker(r, 1000)
 		}
@@ -497,6 +507,9 @@
 			w.after(w.messageDelay(), func() {
 				if !r.partitioned && a.process == process && a.awaited == report.Word.Sent {
 					a.handleReply(report, reply)
+					if reply.Challenge != 0 {
+						w.sendReport(r)
+					}
 				}
 			})
 		}
@@ -523,10 +536,14 @@
 	a.renew = a.renew || reply.Renew && !report.Cut && !a.unresponsive
 }
 
-// isolate lets a worker answer no call of its agent for some seconds.
+// isolate lets a worker answer no call of its agent for some seconds. Now and then the agent
+// starts again meanwhile.
 func (w *world) isolate(r *node) {
 	w.logf("%s is silent", r.id)
 	r.silentUntil = w.now + time.Duration(300+w.rng.IntN(3700))*time.Millisecond
+	if w.rng.IntN(3) == 0 {
+		w.after(time.Duration(w.rng.IntN(500))*time.Millisecond, r.restartAgent)
+	}
 }
 
 // submitAgain submits a job that is stored once more, as a client does that got no answer,
