runner: the lease of an incarnation may be longer than requested under its ID's clock before

A start for the incarnation before names a time of that one's clock, and the next one with the same ID grants as much of it as it may: 10 s on some sites. The agent counted with 5 s, so that the owner could have released its runs too early. Found by audit and review, by reading; lease_test.go fails before.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -25,6 +25,9 @@
 	// leaving says that the worker has said farewell. The lease is not renewed any more,
 	// so that the owner can rely on its expiry.
 	leaving bool
+	// sameID says that an earlier incarnation had the worker's ID. Its lease may have been
+	// requested by that one's clock, for as long as the worker grants one.
+	sameID bool
 	// draining says that the worker will end soon. Its lease is kept short, since the
 	// runs that it has at its farewell can be placed again only when it has expired.
 	draining bool
@@ -67,6 +70,9 @@
 func (l *lease) syncClock(sent, now, clock time.Duration) {
 	if !l.synced {
 		l.maxUntil = clock + l.limits.Lease
+		if l.sameID {
+			l.maxUntil += l.limits.OwnerTimeout
+		}
 	}
 	// The lower bound known so far is better than a delayed reading, but wrong if the clock
 	// was behind it already when the request was sent: it stood still for a while.
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -44,6 +44,19 @@
 		l.renewUntil(pause)
 		expectCovers(l, pause, pause+l.limits.Lease)
 	})
+	It("covers what an order for an earlier incarnation of the same ID may have requested", func() {
+		const longestGranted = 10 * time.Second
+		r := newRunner(&blockingWorker{})
+		next := r.worker
+		next.Born++
+		r.reset(next)
+		r.lease.syncClock(0, 0, time.Second)
+		expectCovers(&r.lease, 0, longestGranted)
+		next.ID = "other"
+		r.reset(next)
+		r.lease.syncClock(0, 0, time.Second)
+		Expect(r.lease.maxRemaining(0)).To(Equal(r.Limits.Lease))
+	})
 	It("is not prolonged by a reply that was delayed", func() {
 		l := renewable()
 		l.renewUntil(0)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -214,9 +214,10 @@
 // reset sets the worker and drops all state of its earlier incarnation. It must be
 // called with the mutex held, or before Start.
 func (r *Runner) reset(w work.Worker) {
+	sameID := w.ID != "" && w.ID == r.worker.ID
 	r.worker = w
 	r.workerEnded, r.ownerKnowsEnd, r.otherBorn = false, false, 0
-	r.lease = lease{limits: r.Limits}
+	r.lease = lease{limits: r.Limits, sameID: sameID}
 	r.storedEnd, r.reportedEnd = 0, 0
 	r.running, r.ends, r.moreEnds, r.partial = nil, nil, false, false
 	r.listed, r.listDue = false, true
