runner: no run is started while the last lease request failed

A worker may have started again under its ID. A start with an expiry by the clock before is good for as long as that clock was ahead, and may be carried out after the owner has released the run. Starts are refused as late until the worker has answered. lease_test.go fails before.

--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -91,9 +91,10 @@
 const maxDrift = 0.02
 
 // renewUntil returns the expiry to request for the lease, by the worker's clock, or
-// 0 if the lease must not be renewed.
+// 0 if the lease must not be renewed. After a failed request another incarnation may answer
+// under the worker's ID, for which the time would mean nothing.
 func (l *lease) renewUntil(now time.Duration) time.Duration {
-	if !l.synced || !l.mayRenew || l.unresponsive || l.leaving || !l.ownerContactRecent(now) {
+	if !l.synced || !l.mayRenew || l.unresponsive || l.leaving || !l.ownerContactRecent(now) || l.failingSince > 0 {
 		return 0
 	}
 	length := l.limits.Lease
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -8,6 +8,7 @@
 
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/sched"
+	"lagoonrack/internal/work"
 )
 
 // The owner starts the tasks of a worker elsewhere once the worker does not answer and the
@@ -86,3 +87,18 @@
 		Expect(request.Seen).To(BeZero())
 	})
 })
+
+var _ = Describe("After a lease request that failed", func() {
+	// A worker that has started again under its ID would start a run for the time of a clock
+	// that is not its own, also long after the owner has released it.
+	It("no run is started before the worker has answered", func() {
+		m := &blockingWorker{}
+		r := newRunner(m)
+		run := runOf(otherJob, 0)
+		r.leaseRequestFailed(plat.LeaseRequest{Life: r.worker.Life}, plat.ErrUnavailable)
+		Expect(startCodes(r.handleOrder(newOrder(r, []work.Run{run}, nil)))).To(Equal([]string{otherJob + " late"}))
+		Expect(m.startCalled(run)).To(BeFalse())
+		r.lease.workerAnswered()
+		Expect(startCodes(r.handleOrder(newOrder(r, []work.Run{run}, nil)))).To(Equal([]string{otherJob + " started"}))
+	})
+})
