runner: what an earlier owner acknowledged is not passed on under the next term

An owner that was replaced and has not noticed takes the end of a run that its successor started for one that it need not store. A restarted agent, which knew no term, passed that on to the worker under the next owner's term: the worker forgot an end that nobody had stored, and the task was started again after it had ended done. report_test.go fails before; the modelled agents follow.

--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -217,6 +217,10 @@
 		r.listDue = true
 		r.Log.Info(logs.OwnerChanged, logs.Fields{"term": term, "owner": owner, "before": r.owner})
 	}
+	if term > r.term {
+		// An owner that was replaced acknowledges ends of runs that it does not know.
+		r.storedEnd, r.reportedEnd = 0, 0
+	}
 	r.term, r.owner = term, owner
 }
 
--- a/internal/runner/report_test.go
+++ b/internal/runner/report_test.go
@@ -28,3 +28,18 @@
 		Expect(rep.Word.Echo).To(Equal(uint64(7)))
 	})
 })
+
+// Guards against passing on what an owner acknowledged that had been replaced: it takes ends
+// of runs that it does not know for stored. The worker would forget ends that nobody has read.
+var _ = Describe("Ends that an earlier owner acknowledged", func() {
+	It("are not acknowledged under the next owner's term", func() {
+		r := newRunner(&blockingWorker{})
+		r.recordStored(7)
+		r.recordOwner(r.term, "owner")
+		request, _ := r.nextLeaseRequest()
+		Expect(request.Seen).To(Equal(int64(7)))
+		r.recordOwner(r.term+1, "other")
+		request, _ = r.nextLeaseRequest()
+		Expect(request.Seen).To(BeZero())
+	})
+})
--- a/internal/sched/chaosagent_test.go
+++ b/internal/sched/chaosagent_test.go
@@ -199,7 +199,7 @@
 
 // renewUntil returns the expiry to request for the lease, or 0 for no renewal.
 func (b *beliefs) renewUntil(now time.Duration) time.Duration {
-	if !b.synced || !b.renew || b.unresponsive || b.leaving || !b.joined || now-b.contact >= timeout {
+	if !b.synced || !b.renew || b.unresponsive || b.leaving || !b.joined || now-b.contact >= timeout || b.failingSince > 0 {
 		return 0
 	}
 	u := b.minWorkerClock(now) + lease
@@ -225,6 +225,14 @@
 	}
 }
 
+// recordTerm records the term of an owner. An owner that was replaced acknowledges ends of
+// runs that it does not know.
+func (a *agent) recordTerm(term uint64) {
+	if term > a.term {
+		a.term, a.storedEnd = term, 0
+	}
+}
+
 // recordStored records that the owner has stored the ends up to n.
 func (b *beliefs) recordStored(n int64) {
 	b.storedEnd = max(b.storedEnd, n)
@@ -364,7 +372,7 @@
 	if o.Term < a.term {
 		return work.Fenced
 	}
-	a.term = o.Term
+	a.recordTerm(o.Term)
 	if o.Life != a.known || a.ended || a.otherBorn != 0 {
 		return work.OtherIncarnation
 	}
@@ -534,7 +542,8 @@
 	if reply.Term < a.term {
 		return
 	}
-	a.term, a.heard = reply.Term, a.heard.Latest(reply.Now)
+	a.recordTerm(reply.Term)
+	a.heard = a.heard.Latest(reply.Now)
 	if reply.Challenge != 0 {
 		a.echo = reply.Challenge
 		return
