--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -14,7 +14,7 @@
 
 // The owner was told that the lease ends after Left and that nobody renews it.
 var _ = Describe("A farewell that is taken back by a heartbeat", func() {
-	It("allows no renewal before the owner has answered a report without Cut", func() {
+	takenBack := func() *Runner {
 		r := newLeavingRunner()
 		r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
 			return plat.LeaseReply{Running: []work.Running{{}}}, nil
@@ -23,18 +23,14 @@
 		rep := expectAtWork(r)
 		r.handleReply(rep, work.Reply{Term: 1}, "owner", r.Clock.Now())
 		r.Heartbeat(r.worker, 7)
-		request, _ := r.nextLeaseRequest()
+		return r
+	}
+	It("allows no renewal before the owner has answered a report without Cut", func() {
+		request, _ := takenBack().nextLeaseRequest()
 		Expect(request.Until).To(BeZero())
 	})
 	It("starts no run before that", func() {
-		r := newLeavingRunner()
-		r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
-			return plat.LeaseReply{Running: []work.Running{{}}}, nil
-		}
-		r.Deregistered(r.worker.ID)
-		rep := expectAtWork(r)
-		r.handleReply(rep, work.Reply{Term: 1}, "owner", r.Clock.Now())
-		r.Heartbeat(r.worker, 7)
+		r := takenBack()
 		run := runOf(otherJob, 0)
 		Expect(startCodes(r.handleOrder(newOrder(r, []work.Run{run}, nil)))).To(Equal([]string{otherJob + " " + string(work.Late)}))
 	})
