runner: one test whether another incarnation may answer, and one base of a lease request

Read again after the landing: nextLeaseRequest and readEnds each had the condition under which a request neither acknowledges nor renews, three places compared the birth in an answer, the draining state was set beside each reset, and two specs shared eight lines of set-up. listRequest, mayBeOther and LeaseReply.FromOther serve all; reset takes the state over from the worker. No behaviour changes, and no assertion; the package's specs pass.

--- a/internal/plat/runtime.go
+++ b/internal/plat/runtime.go
@@ -39,6 +39,10 @@
 	Partial bool
 }
 
+// FromOther reports whether an incarnation other than the given one has answered. An answer
+// that does not say when its incarnation began counts as that one's.
+func (r LeaseReply) FromOther(l work.Life) bool { return r.Born != 0 && r.Born != l.Born }
+
 // StartRun orders a worker to start a run.
 type StartRun struct {
 	Life work.Life
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -55,7 +55,7 @@
 		}
 		if r.handleLeaseReply(ctx, request, reply, sent) {
 			r.awaitEndsStored(ctx)
-		} else if reply.Born != 0 && reply.Born != request.Life.Born {
+		} else if reply.FromOther(request.Life) {
 			// Its heartbeat will follow.
 			clock.Sleep(ctx, retryPause)
 		}
@@ -86,13 +86,11 @@
 	if r.worker.ID == "" || r.workerEnded {
 		return plat.LeaseRequest{}, false
 	}
-	if r.otherBorn != 0 || r.lease.failingSince > 0 {
-		// Another incarnation may answer under the worker's ID. It must neither forget ends
-		// by the count of the one before nor get a lease by its clock.
-		return plat.LeaseRequest{Life: r.worker.Life, Term: r.term, After: r.heard}, true
+	request := r.listRequest()
+	if r.mayBeOther() {
+		return request, true
 	}
-	now := r.Clock.Now()
-	request := plat.LeaseRequest{Life: r.worker.Life, Until: r.lease.renewUntil(now), Term: r.term, Seen: r.storedEnd, Wait: leaseRequestWait, After: r.heard}
+	request.Until, request.Wait = r.lease.renewUntil(r.Clock.Now()), leaseRequestWait
 	switch {
 	case !r.lease.synced || r.lease.unresponsive:
 		request.Wait = 0
@@ -104,6 +102,20 @@
 	return request, true
 }
 
+// listRequest returns a lease request that does not renew the lease. It must be called with
+// the mutex held.
+func (r *Runner) listRequest() plat.LeaseRequest {
+	request := plat.LeaseRequest{Life: r.worker.Life, Term: r.term, After: r.heard}
+	if !r.mayBeOther() {
+		request.Seen = r.storedEnd
+	}
+	return request
+}
+
+// mayBeOther reports whether another incarnation may answer under the worker's ID. It must
+// neither forget ends by the count of the one before nor get a lease by its clock.
+func (r *Runner) mayBeOther() bool { return r.otherBorn != 0 || r.lease.failingSince > 0 }
+
 // leaseRequestFailed handles the error of a lease request.
 func (r *Runner) leaseRequestFailed(request plat.LeaseRequest, err error) {
 	r.mu.Lock()
@@ -142,7 +154,7 @@
 	if request.Life != r.worker.Life {
 		return false
 	}
-	if reply.Born != 0 && reply.Born != r.worker.Born {
+	if reply.FromOther(r.worker.Life) {
 		r.noteOtherIncarnation(reply)
 		return false
 	}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -29,7 +29,6 @@
 	case w.Life != r.worker.Life:
 		r.Log.Info(logs.WorkerNew, logs.Fields{"worker": w.ID, "born": w.Born, "before": r.worker.ID})
 		r.reset(w)
-		r.lease.draining = w.Leaving
 		r.heartbeatSeq = sequence
 		signal(r.workerAnnounced)
 	case sequence < r.heartbeatSeq:
@@ -70,7 +69,7 @@
 	if earlier {
 		return err != nil || reply.Born != w.Born
 	}
-	return errors.Is(err, plat.ErrNotFound) || err == nil && reply.Born != 0 && reply.Born != w.Born
+	return errors.Is(err, plat.ErrNotFound) || err == nil && reply.FromOther(w.Life)
 }
 
 // Deregistered records the worker's farewell. The worker may go on for a while, so its runs
@@ -128,10 +127,9 @@
 	return f
 }
 
-// lastListTimeout bounds a request for a worker's list before a message of the worker is
-// answered, and lastListsTimeout all of
-// them, which precede the answer to the worker's farewell: the worker waits about a second
-// for that.
+// lastListTimeout bounds a request for a worker's list that precedes the answer to a message
+// of the worker, and lastListsTimeout all of them that precede the answer to its farewell:
+// the worker waits about a second for that.
 const (
 	lastListTimeout  = 300 * time.Millisecond
 	lastListsTimeout = 700 * time.Millisecond
@@ -156,10 +154,8 @@
 // has more ends.
 func (r *Runner) readEnds(ctx context.Context, l work.Life) (more bool, err error) {
 	r.mu.Lock()
-	request := plat.LeaseRequest{Life: l, Term: r.term, After: r.heard}
-	if r.otherBorn == 0 && r.lease.failingSince == 0 {
-		request.Seen = r.storedEnd
-	}
+	request := r.listRequest()
+	request.Life = l
 	r.mu.Unlock()
 	c, cancel := context.WithTimeout(ctx, lastListTimeout)
 	defer cancel()
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -105,13 +105,7 @@
 // The owner would count with the longest possible lease if the agent stopped before it knew.
 var _ = Describe("A planned stop of an agent whose worker has said farewell", func() {
 	It("waits until the owner knows when the lease expires", func() {
-		r := newLeavingRunner()
-		r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
-			return plat.LeaseReply{}, plat.ErrUnavailable
-		}
-		earlier, _ := r.buildReport()
-		r.Deregistered(r.worker.ID)
-		r.handleReply(earlier, work.Reply{Term: 1, Renew: true}, "owner", r.Clock.Now())
+		r := newDeregisteredRunner()
 		began := r.Clock.Now()
 		time.AfterFunc(300*time.Millisecond, func() {
 			rep, _ := r.buildReport()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -216,7 +216,7 @@
 	sameID := w.ID != "" && w.ID == r.worker.ID
 	r.worker = w
 	r.workerEnded, r.ownerKnowsEnd, r.otherBorn = false, false, 0
-	r.lease = lease{limits: r.Limits, sameID: sameID}
+	r.lease = lease{limits: r.Limits, sameID: sameID, draining: w.Leaving}
 	r.storedEnd, r.reportedEnd = 0, 0
 	r.running, r.ends, r.moreEnds, r.partial = nil, nil, false, false
 	r.listed, r.listDue = false, true
--- a/internal/runner/stop_test.go
+++ b/internal/runner/stop_test.go
@@ -142,14 +142,7 @@
 		Expect(r.lease.renewUntil(now) - r.lease.minWorkerClock(now)).To(Equal(drainingLease))
 	})
 	It("gets no renewal from a reply to an earlier report", func() {
-		r := newLeavingRunner()
-		r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
-			return plat.LeaseReply{}, plat.ErrUnavailable
-		}
-		earlier, _ := r.buildReport()
-		r.Deregistered(r.worker.ID)
-		r.handleReply(earlier, work.Reply{Term: 1, Renew: true}, "owner", r.Clock.Now())
-		request, _ := r.nextLeaseRequest()
+		request, _ := newDeregisteredRunner().nextLeaseRequest()
 		Expect(request.Until).To(BeZero())
 	})
 	It("does not end the next incarnation, whose first heartbeat it crosses", func() {
@@ -198,6 +191,19 @@
 	return r
 }
 
+// newDeregisteredRunner returns a runner whose worker has said farewell and does not answer.
+// The owner has replied only to a report from before that.
+func newDeregisteredRunner() *Runner {
+	r := newLeavingRunner()
+	r.Runtime.Hold = func(context.Context, plat.LeaseRequest) (plat.LeaseReply, error) {
+		return plat.LeaseReply{}, plat.ErrUnavailable
+	}
+	earlier, _ := r.buildReport()
+	r.Deregistered(r.worker.ID)
+	r.handleReply(earlier, work.Reply{Term: 1, Renew: true}, "owner", r.Clock.Now())
+	return r
+}
+
 // expectAtWork checks that the owner still counts the worker's runs as at work, and returns
 // the report that it gets.
 func expectAtWork(r *Runner) work.Report {
