sched: the record of released runs is keyed by the worker's ID

The key had the incarnation, and a look-up that did not find it scanned all 2,048 entries for the same ID. Run numbers of a task only rise, so that ID and run are enough. Of two releases on incarnations of one ID the later now counts; before it was either. released_test.go passes as it was.

--- a/internal/sched/released.go
+++ b/internal/sched/released.go
@@ -16,9 +16,10 @@
 	next  int
 }
 
-// workerRun is a run on one incarnation of a worker.
+// workerRun is a run on a worker. An earlier incarnation of its ID may have been meant to
+// start the run.
 type workerRun struct {
-	work.Life
+	worker string
 	work.Run
 }
 
@@ -33,7 +34,7 @@
 
 // add records the release of a placement.
 func (r *releasedRuns) add(p *placement, reason string, now time.Duration) {
-	key := workerRun{p.worker.Life, p.id}
+	key := workerRun{p.worker.ID, p.id}
 	if _, known := r.byRun[key]; !known {
 		if r.byRun == nil {
 			r.byRun = map[workerRun]releasedRun{}
@@ -49,16 +50,8 @@
 	r.byRun[key] = releasedRun{reason, now}
 }
 
-// find returns the release of a run on a worker, and false if none is recorded. A run that
-// an earlier incarnation of the same ID was to start counts too.
-func (r *releasedRuns) find(l work.Life, x work.Run) (releasedRun, bool) {
-	if found, ok := r.byRun[workerRun{l, x}]; ok {
-		return found, true
-	}
-	for key, found := range r.byRun {
-		if key.Run == x && key.ID == l.ID {
-			return found, true
-		}
-	}
-	return releasedRun{}, false
+// find returns the release of a run on a worker, and false if none is recorded.
+func (r *releasedRuns) find(worker string, x work.Run) (releasedRun, bool) {
+	found, ok := r.byRun[workerRun{worker, x}]
+	return found, ok
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -417,7 +417,7 @@
 // owner ordered the run whose transaction was not applied.
 func (c *Core) stopUnknownRun(w *worker, r work.Run) {
 	stray := Decision{Kind: "stray", Task: r.Task, Run: r.Num, Worker: w.ID}
-	if x, ok := c.released.find(w.Life, r); ok {
+	if x, ok := c.released.find(w.ID, r); ok {
 		stray.Reason, stray.Took = x.reason, c.now-x.at
 	}
 	c.emit(stray)
