--- a/internal/sched/inherited_test.go
+++ b/internal/sched/inherited_test.go
@@ -36,12 +36,12 @@
 		}
 		return n
 	}
-	It("does not run again after its end done was taken note of", func() {
+	It("does not run again after its end done was acknowledged", func() {
 		s := newTestCell(testQueues, 16, 16)
 		w := restart(s, work.Done)
 		Expect(starts(s)).To(Equal(1))
 		s.advance(700 * time.Millisecond)
-		Expect(w.ends).To(BeEmpty(), "the owner has taken note of the end")
+		Expect(w.ends).To(BeEmpty(), "the owner has acknowledged the end")
 		Expect(starts(s)).To(Equal(1))
 	})
 	It("counts as an attempt", func() {
