leader: tests of takeovers wait for the orders that are on their way

Nothing waits for these goroutines. It is a fault of the test's end, not of the product: the stack shows only the harness's sendOrder asleep.

--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -584,6 +584,8 @@
 		test(NewWithT(t), f)
 		cancel()
 		f.loops.Wait()
+		// Orders that an owner had sent are still on their way, which no loop waits for.
+		time.Sleep(time.Second)
 	})
 }
 
