--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,5 @@
 # and the clients, and that starts lagoond and lagoonlet.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+export GOFLAGS="-buildvcs=false -mod=readonly" GOPROXY=off
 go build -tags review -o target/review-stage2 ./review/stage2/platform
