review: the cases on arm64, and a poison job that fills two minions

Cause: the cases had been run on x86-64 only. On arm64 case 6 held once: its poison job was over with the first second run that failed, so one minion had one failure only. With 16 tasks its first runs fail on two minions at once.

--- a/review/stage2/platform/cases.go
+++ b/review/stage2/platform/cases.go
@@ -75,7 +75,11 @@
 // playPoison: of 20 jobs that come within 3 s, one can never be done. The next job is sound,
 // but the first run of each of its tasks fails, as runs may.
 func playPoison(s *stage) string {
-	const jobs = 20
+	const (
+		jobs = 20
+		// poisoned fills two minions, so that at least two runs fail on each of them.
+		poisoned = 16
+	)
 	s.configure(3, route{name: "plans", attempts: 2})
 	s.setUp(3)
 	for i := range jobs - 1 {
@@ -87,7 +91,7 @@
 	if s.trouble {
 		spec = fails
 	}
-	s.submit(jobPath("plans", 0xa00+jobs), spec, 8, 900, "")
+	s.submit(jobPath("plans", 0xa00+jobs), spec, poisoned, 900, "")
 	time.Sleep(4 * time.Second)
 	path := jobPath("plans", 0xb00)
 	s.submit(path, failUpTo+"1", 2, 900, "")
