review: case 10, routes of an old version after connections have gone silent

Cause: the feed of the configuration is given up after 3 s, and the configuration is then read with one call of up to 2.5 s on a pooled connection that may be silent too.

What the case does: 24 jobs come at once, 1.5 s later the connections to the store go silent, and 0.9 s later a version adds a route and removes another one.

--- a/review/stage2/platform/cases.go
+++ b/review/stage2/platform/cases.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -15,6 +16,7 @@
 	"route":   playRemovedRoute,
 	"thirty":  playThirty,
 	"advised": playAdvisedBurst,
+	"silent":  playSilent,
 }
 
 const (
@@ -188,3 +190,76 @@
 	}
 	return ""
 }
+
+// playSilent: jobs come at once, then the open connections to the store go silent, and then one
+// route is added and one is removed.
+func playSilent(s *stage) string {
+	const (
+		// together is the number of jobs that come at once at each entry.
+		together = 8
+		// contact is contactMs, and apply is configApplyMs.
+		contact, apply = 3 * time.Second, 2 * time.Second
+		watched        = 12 * time.Second
+		body           = `{"spec":"ok","steps":[{"count":1,"cpu":100,"memMb":100,"estimatedMs":850}]}`
+	)
+	plans, added, removed := route{name: "plans", attempts: 3}, route{name: "added", attempts: 3}, route{name: "removed", attempts: 3}
+	var err error
+	if s.link, err = newLink(s.store.Addr()); err != nil {
+		s.cannotRun("%v", err)
+	}
+	s.configure(3, plans, removed)
+	s.setUp(3)
+	var all sync.WaitGroup
+	for i := range together * len(s.entries) {
+		all.Go(func() { s.call(s.entries[i%len(s.entries)], http.MethodPost, jobPath("plans", 0xa00+i), body) })
+	}
+	all.Wait()
+	time.Sleep(1500 * time.Millisecond)
+	silent := time.Now()
+	if s.trouble {
+		s.logf("the %d open connections to the store go silent", s.link.silence())
+	}
+	time.Sleep(900 * time.Millisecond)
+	s.configure(5, plans, added)
+	// Requests that are sent from here on are bound to the version.
+	bound := time.Now().Add(apply)
+	if x := silent.Add(contact); x.After(bound) {
+		bound = x
+	}
+	broken := make([]string, len(s.entries))
+	for i, e := range s.entries {
+		all.Go(func() { broken[i] = s.watchRoutes(e, bound, silent.Add(watched), jobPath("removed", 0xb00+i), body) })
+	}
+	all.Wait()
+	for _, b := range broken {
+		if b != "" {
+			return b
+		}
+	}
+	return ""
+}
+
+// watchRoutes asks an entry for the count of the added route until it knows it, and half a
+// second after the bound it hands a job in on the removed one. It returns how the entry went
+// by an older version after the bound, or "".
+func (s *stage) watchRoutes(e *entry, bound, end time.Time, path, body string) string {
+	broken, handed := "", false
+	for time.Now().Before(end) {
+		sent := time.Now()
+		status, _ := s.call(e, http.MethodGet, "/added/", "")
+		if status == http.StatusNotFound && sent.After(bound) {
+			broken = fmt.Sprintf("%s answers 404 for a route that is there, to a request sent %v after the bound", e.name, sent.Sub(bound).Round(time.Millisecond))
+		}
+		if !handed && sent.After(bound.Add(500*time.Millisecond)) {
+			handed = true
+			if status, _ := s.call(e, http.MethodPost, path, body); status == http.StatusOK {
+				s.logf("%s accepts a job on a route that was removed", e.name)
+			}
+		}
+		if status == http.StatusOK && handed {
+			return broken
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return broken + fmt.Sprintf("; %s doesn't know the route after %v", e.name, end.Sub(bound))
+}
--- a/review/stage2/platform/stage.go
+++ b/review/stage2/platform/stage.go
@@ -50,6 +50,8 @@
 	reserved net.Listener
 	entries  []*entry
 	minions  []*minion
+	// link is the link of all machines to the store, or nil if they call it directly.
+	link *link
 	// advisor is the stand-in of the advisor, or nil.
 	advisor *advisor
 
@@ -183,12 +185,20 @@
 	s.start("lagoond", e.name, "deploy/entry.yaml", map[string]string{
 		"nodeName": e.name, "region": "r", "zone": "z", "listen.frontend": e.caller, "listen.readiness": e.check,
 		"ip": "127.0.0.1", "internalPorts.0": port(s.freeAddr()), "internalPorts.1": port(s.freeAddr()),
-		"platform.address": s.store.Addr(), "limits.cpuShare": "0.4", "limits.linkMbps": "1000.0",
+		"platform.address": s.storeAddr(), "limits.cpuShare": "0.4", "limits.linkMbps": "1000.0",
 	})
 	s.entries = append(s.entries, e)
 	return e
 }
 
+// storeAddr returns the address at which the machines call the store.
+func (s *stage) storeAddr() string {
+	if s.link != nil {
+		return s.link.Addr().String()
+	}
+	return s.store.Addr()
+}
+
 func port(addr string) string {
 	_, p, _ := net.SplitHostPort(addr)
 	return p
@@ -201,7 +211,7 @@
 	s.start("lagoonlet", "agent-"+m.name, "deploy/agent.yaml", map[string]string{
 		"nodeName": "agent-" + m.name, "region": "r", "zone": "z", "app": m.addr(), "listen.control": m.announce,
 		"ip": "127.0.0.1", "internalPorts.0": port(s.freeAddr()), "internalPorts.1": port(s.freeAddr()),
-		"platform.address": s.store.Addr(),
+		"platform.address": s.storeAddr(),
 	})
 	s.minions = append(s.minions, m)
 	go m.loopHeartbeats()
