sched, blame: failures that their tasks explain don't count against workers

Cause: each failure counted against its worker, whatever its cause, two in a row made the worker suspect, and only a success took that back. A task with one attempt left was never given to a suspect worker. With all workers suspect, nothing started that could succeed.

Change: package blame tells what failures show. A job of which nothing runs, and a task that lasts, wait for 2 s for another worker and then take a suspect one. A worker that is clear again is logged.

--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -41,6 +41,7 @@
 // logs.Decided.
 var decisionEvents = map[string]logs.Event{
 	"suspect": logs.Quarantine,
+	"cleared": logs.Restored,
 	"cut":     logs.WorkerUnresponsive,
 	"lost":    logs.WorkerUnresponsive,
 	"back":    logs.Restored,
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -43,8 +43,8 @@
 	Snapshot             = Event{305, "snapshot stored", "The state of a cell is in the object store."}
 	OwnerBehind          = Event{306, "owner behind", "The owner handles events later than they arrive. It drops hints of jobs, which it reads from the store later, and answers reports that it could not handle in time as such."}
 	OwnerCaughtUp        = Event{307, "owner caught up", "The owner handles events as they arrive again."}
-	Quarantine           = Event{401, "worker quarantined", "Tasks keep failing on a worker; for a while it gets only probe tasks."}
-	Restored             = Event{402, "worker in use again", "A task succeeded on a quarantined worker."}
+	Quarantine           = Event{401, "worker quarantined", "Failures speak against a worker; it gets only probe tasks until one succeeds, their tasks fail on other workers too, or the failures are old."}
+	Restored             = Event{402, "worker in use again", "Nothing speaks against a quarantined worker any more, or a silent one answers. The reason is success, or evidence: its tasks fail on other workers too, or the failures are old."}
 	WorkerUnresponsive   = Event{403, "worker silent", "A worker did not answer or report until its leases expired."}
 	Fenced               = Event{404, "orders refused", "A worker rejected orders of an owner that has been replaced."}
 	WorkerNew            = Event{405, "worker announced", "A worker began a new incarnation; no run of an earlier incarnation is left."}
--- a/internal/sched/census.go
+++ b/internal/sched/census.go
@@ -48,7 +48,7 @@
 		out.WorkersUnresponsive++
 	case c.now-w.lastReport >= reportTimeout:
 		out.AgentsUnresponsive++
-	case w.suspect():
+	case c.suspect(w):
 		out.Suspect++
 	default:
 		out.Ready++
--- a/internal/sched/consolidate.go
+++ b/internal/sched/consolidate.go
@@ -134,7 +134,7 @@
 		return true
 	}
 	for _, x := range c.candidates(p.task.step, v.schedulable) {
-		if x == v.worker || x.suspect() || !x.hasLongRunning() || !v.allowsSpread(p, x) {
+		if x == v.worker || c.suspect(x) || !x.hasLongRunning() || !v.allowsSpread(p, x) {
 			continue
 		}
 		for _, q := range x.placements.sorted() {
@@ -231,7 +231,7 @@
 	s := p.task.step
 	var best *worker
 	for _, w := range c.candidates(s, v.schedulable) {
-		if w == v.worker || w == exclude || w == p.worker || w.suspect() || !w.hasLongRunning() || !v.allowsSpread(p, w) || !s.Size.Fits(v.free(w)) {
+		if w == v.worker || w == exclude || w == p.worker || c.suspect(w) || !w.hasLongRunning() || !v.allowsSpread(p, w) || !s.Size.Fits(v.free(w)) {
 			continue
 		}
 		if best == nil || v.free(w).Cores < v.free(best).Cores {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -175,16 +175,27 @@
 	return w.stepCounts[s]
 }
 
-// mayProbe reports whether a suspect worker may get the task as a test run: another
-// failure must not fail the job, and the last test run must be long enough ago.
+// mayProbe reports whether a suspect worker may get the task as a test run: the last test
+// run must be long enough ago, and a task whose next failure fails the job waits for a
+// worker that is not suspect. The wait is bounded, since all workers may be suspect.
 func (c *Core) mayProbe(t *task, w *worker) bool {
-	if c.maxAttempts(t.step.job)-t.failures <= 1 && !t.step.Lasts {
-		return false
+	sinceProbe := c.now - w.lastProbe
+	if c.waitTime(t) >= exclusionPatience && (t.step.Lasts || t.step.job.placements.len() == 0) {
+		return sinceProbe > urgentProbeInterval
 	}
-	return c.now-w.lastProbe > probeInterval
+	return !c.lastAttempt(t) && sinceProbe > probeInterval
+}
+
+// lastAttempt reports whether another failure of the task fails the job.
+func (c *Core) lastAttempt(t *task) bool {
+	return !t.step.Lasts && c.maxAttempts(t.step.job)-t.step.countFailures(t) <= 1
 }
 
 const (
+	// exclusionPatience is how long a task that lasts, or a job of which nothing runs, waits
+	// for a worker that nothing speaks against while others have the capacity. Waits of up
+	// to 3 s are acceptable.
+	exclusionPatience = 2 * time.Second
 	// preferredWeight ranks a worker with the preferred label above all others.
 	preferredWeight = 10
 	// failedWeight ranks suspect workers and those where the task has failed below
@@ -206,7 +217,7 @@
 	if t.step.Fills {
 		w.bestEffortChanged = c.now
 	}
-	if w.suspect() {
+	if c.suspect(w) {
 		w.lastProbe = c.now
 	}
 	j := t.step.job
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -70,7 +70,7 @@
 	var best []*placement
 	bestLoss := preemptMaxLossRatio * c.taskCost(t)
 	for _, w := range c.candidates(t.step, schedulable) {
-		if w.suspect() || t.step.Apart > 0 && t.step.countOn(w) >= t.step.Apart {
+		if c.suspect(w) || t.step.Apart > 0 && t.step.countOn(w) >= t.step.Apart {
 			continue
 		}
 		victims, loss, fits := c.victims(t, w)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -307,20 +307,16 @@
 // learnFromEnd updates the worker's health and the learned run times from the end
 // of a run.
 func (c *Core) learnFromEnd(p *placement, reason work.EndReason) {
-	w := p.worker
 	switch reason {
 	case work.Done:
-		w.failureStreak = 0
+		c.noteSuccess(p)
 		if p.task.step.Lasts {
 			return
 		}
 		c.countWork(p)
 		c.runTimes.add(c.now, p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
 	case work.Failed:
-		w.failureStreak++
-		if w.failureStreak == suspectAfter {
-			c.emit(Decision{Kind: "suspect", Worker: w.ID, Reason: "failures"})
-		}
+		c.noteFailure(p, "failures")
 	}
 }
 
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -58,7 +58,8 @@
 	p.worker.blockedUntil = c.now + refusedBlock
 	switch code {
 	case work.Unhealthy:
-		p.worker.failureStreak++
+		p.worker.record.Refused(c.now)
+		c.logSuspect(p.worker, "refusals")
 	case work.BadTicket:
 		c.advice.dropTicket(p)
 	}
--- a/internal/sched/shortlist.go
+++ b/internal/sched/shortlist.go
@@ -84,7 +84,7 @@
 			continue
 		}
 		score := o.base
-		if o.suspect() || slices.Contains(t.failedOn, o.ID) {
+		if c.suspect(o.worker) || slices.Contains(t.failedOn, o.ID) {
 			score -= failedWeight
 		}
 		if score -= o.spread; best == nil || score > bestScore {
@@ -99,9 +99,9 @@
 	switch {
 	case t.moveTarget != nil && c.now < t.moveTargetUntil && w != t.moveTarget:
 		return false
-	case t.avoidWorker == w.ID && c.now-t.avoidSince < avoidDuration:
+	case t.avoidWorker == w.ID && c.now-t.avoidSince < avoidDuration && c.waitTime(t) < exclusionPatience:
 		return false
-	case w.suspect() && !c.mayProbe(t, w):
+	case c.suspect(w) && !c.mayProbe(t, w):
 		return false
 	}
 	return true
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -57,10 +57,7 @@
 // not of the task.
 func (c *Core) handleStall(p *placement) {
 	w := p.worker
-	w.failureStreak++
-	if w.failureStreak == suspectAfter {
-		c.emit(Decision{Kind: "suspect", Worker: w.ID, Reason: "stalls"})
-	}
+	c.noteFailure(p, "stalls")
 	p.task.stalls++
 	p.task.failedOn = append(p.task.failedOn, w.ID)
 	c.stopAndAvoid(p, "stalled")
@@ -94,7 +91,7 @@
 	if !s.Copies || s.Gang || s.Lasts || t.done || len(t.placements) >= maxRunsPerTask || !p.confirmed || p.stopReason != "" {
 		return false
 	}
-	if c.maxAttempts(s.job)-t.failures <= 1 {
+	if c.lastAttempt(t) {
 		return false
 	}
 	usual, _ := c.runTimes.estimate(s.job.Queue, s.Step)
@@ -107,7 +104,7 @@
 // suspect, if one can take it.
 func (c *Core) startCopy(p *placement, schedulable []*worker) {
 	t := p.task
-	candidates := slices.DeleteFunc(slices.Clone(c.candidates(t.step, schedulable)), func(w *worker) bool { return w == p.worker || w.suspect() })
+	candidates := slices.DeleteFunc(slices.Clone(c.candidates(t.step, schedulable)), func(w *worker) bool { return w == p.worker || c.suspect(w) })
 	if w := c.chooseAmong(t, candidates); w != nil {
 		c.emit(Decision{Kind: "copy", Task: t.name(), Run: t.lastRun + 1, Worker: w.ID, Reason: "late"})
 		c.place(t, w, t.lastRun+1)
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lagoonrack/internal/blame"
 	"lagoonrack/internal/work"
 )
 
@@ -41,6 +42,8 @@
 	placed int
 	// everStarted says that some task of the step was placed at least once.
 	everStarted bool
+	// kind is what the ends of the step's runs tell about its tasks.
+	kind blame.Kind
 }
 
 // task is one task of a step.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"lagoonrack/internal/blame"
 	"lagoonrack/internal/vect"
 	"lagoonrack/internal/work"
 )
@@ -68,27 +69,56 @@
 	orderQueued  bool
 }
 
-// health detects a worker whose runs fail or stall.
+// health detects a worker that is at fault for the failed or stalled runs on it.
 type health struct {
-	// failureStreak is the number of failures since the last success.
-	failureStreak int
+	record blame.Record
+	// suspectReason is why the worker was logged as suspect, or empty.
+	suspectReason string
 	// lastProbe is when a suspect worker was last given a run.
 	lastProbe time.Duration
 }
 
 const (
-	// suspectAfter is the number of failures in a row after which a worker is
-	// suspect and only gets single test runs.
-	suspectAfter = 2
-	// probeInterval is the minimum time between two test runs.
+	// probeInterval is the minimum time between two test runs of a suspect worker.
 	probeInterval = time.Second
+	// urgentProbeInterval is the same for tasks that have waited for exclusionPatience. Test
+	// runs of others must not keep them waiting.
+	urgentProbeInterval = 250 * time.Millisecond
 	// reportTimeout is the time without a report after which a worker gets no new
 	// runs: three missed reports.
 	reportTimeout = 1500 * time.Millisecond
 )
 
-// suspect reports whether the worker only gets single test runs.
-func (h *health) suspect() bool { return h.failureStreak >= suspectAfter }
+// suspect reports whether a worker only gets single test runs.
+func (c *Core) suspect(w *worker) bool { return w.record.Suspect(w.ID, c.now) }
+
+// noteFailure records a failed or stalled run.
+func (c *Core) noteFailure(p *placement, reason string) {
+	w, s := p.worker, p.task.step
+	w.record.Failed(w.ID, s.job.ID, &s.kind, c.now)
+	c.logSuspect(w, reason)
+}
+
+// noteSuccess records that a task has succeeded.
+func (c *Core) noteSuccess(p *placement) {
+	p.task.step.kind.Succeeded()
+	p.worker.record.Succeeded()
+	c.logSuspect(p.worker, "")
+}
+
+// logSuspect logs whether a worker is suspect if that has changed.
+func (c *Core) logSuspect(w *worker, reason string) {
+	suspect := c.suspect(w)
+	if suspect == (w.suspectReason != "") {
+		return
+	}
+	d := Decision{Kind: "suspect", Worker: w.ID, Reason: reason}
+	if w.suspectReason = reason; !suspect {
+		w.suspectReason, d.Kind, d.Reason = "", "cleared", cmp.Or(reason, "success")
+		c.changes.addWorker(w)
+	}
+	c.emit(d)
+}
 
 // ensureWorker returns the record of an incarnation and creates it if needed.
 func (c *Core) ensureWorker(l work.Life, agent string) *worker {
@@ -328,6 +358,8 @@
 			c.orderStart(p)
 		}
 	}
+	w.record.Trim(c.now)
+	c.logSuspect(w, "evidence")
 	c.drain(w)
 	c.moveStarved(w)
 }
