sched, work: a job goes by the terms that it was accepted with while its queue is away

With a limit of two, a third run starts.

Cause: the owner asked the configuration in force for the attempts, priority, objective and advisor of a job's queue in a dozen places, and took the zero value for a queue that isn't there. For the attempts that meant the default of three.

Change: the row that accepts a job holds the terms of its queue. While the configuration has the queue, the job goes by it, but for the attempts, which are part of what its caller was told; otherwise by its own terms. They are resolved once for each configuration and job.

Related: priority in preemption, also for whether there are several; due times; tickets; owners that have never seen the queue. Jobs of an earlier version have no terms, and the defaults, as before.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -19,6 +19,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -55,11 +56,9 @@
 	workerByAgent map[string]*worker
 	config        *work.Config
 	queues        map[string]work.Queue
-	// lowestPriority is the priority of the least urgent queues, which is the
-	// highest number. mixedPriorities is set if some queue is more urgent than
-	// that.
-	lowestPriority  int
-	mixedPriorities bool
+	// lowestPriority is the priority of the least urgent queues and jobs, which is the
+	// highest number, and highestPriority that of the most urgent ones.
+	lowestPriority, highestPriority int
 	// pendingCancels holds the cancelled jobs whose own row has not been seen yet.
 	pendingCancels map[string]bool
 
@@ -257,15 +256,39 @@
 	}
 	c.config = cfg
 	c.queues = make(map[string]work.Queue, len(cfg.Queues))
-	c.lowestPriority = 0
+	c.lowestPriority, c.highestPriority = math.MinInt, math.MaxInt
 	for _, q := range cfg.Queues {
 		c.queues[q.Name] = q
-		c.lowestPriority = max(c.lowestPriority, q.Priority)
+		c.notePriority(q.Priority)
+	}
+	for _, j := range c.jobs {
+		c.updateTerms(j)
 	}
-	c.mixedPriorities = slices.ContainsFunc(cfg.Queues, func(q work.Queue) bool { return q.Priority < c.lowestPriority })
 	c.changes.all, c.changes.rebuild = true, true
 }
 
+// updateTerms determines how a job is scheduled: as the configuration in force says of its
+// queue, and as the job was accepted while the configuration doesn't have the queue. The
+// number of attempts is that of the acceptance in any case: it is part of the answer to the
+// caller, and every owner knows it, whatever configurations it has seen.
+func (c *Core) updateTerms(j *job) {
+	j.inForce, j.service = j.Terms, j.Service
+	if q, ok := c.queues[j.Queue]; ok {
+		j.inForce, j.service = q.Terms(), q.Service
+		if n := j.Terms.Attempts; n > 0 {
+			j.inForce.Attempts = n
+		}
+	}
+	if !j.finished() {
+		c.notePriority(j.inForce.Priority)
+	}
+}
+
+// notePriority records that a queue or a job has a priority.
+func (c *Core) notePriority(n int) {
+	c.lowestPriority, c.highestPriority = max(c.lowestPriority, n), min(c.highestPriority, n)
+}
+
 // JobTable is the table of the rows that accept, reject and cancel jobs. Jobs are partitioned by
 // their first digit because the store executes the transactions of one partition
 // one after another: while the store is slow, acceptances must not queue behind one
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -12,6 +12,10 @@
 // job is a job and the progress of its tasks.
 type job struct {
 	work.Job
+	// inForce are the terms by which the job is scheduled, and service is that whose workers
+	// run it: see Core.updateTerms.
+	inForce work.Terms
+	service string
 	// past is the number of occurrences, counted from the first, that are complete
 	// and have no placements any more.
 	past int
@@ -127,6 +131,7 @@
 	c.jobCount++
 	j := &job{Job: spec, visibleState: "queued", acceptedAt: c.acceptanceTime(spec), seq: c.jobCount}
 	j.progressRows = newProgressRows(&j.Job, c.limits)
+	c.updateTerms(j)
 	c.jobs[j.ID] = j
 	c.active = append(c.active, j)
 	if j.Times > 0 {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -4,12 +4,12 @@
 
 // dueTime returns when an occurrence should have ended, by the owner's clock.
 func (c *Core) dueTime(o *occurrence) time.Duration {
-	q := c.queues[o.job.Queue]
-	stretch := q.Stretch
+	terms := &o.job.inForce
+	stretch := terms.Stretch
 	if stretch <= 0 {
 		stretch = 1
 	}
-	return c.startTime(o) + time.Duration(stretch*float64(c.expectedChain(o))) + time.Duration(q.Target)*time.Millisecond
+	return c.startTime(o) + time.Duration(stretch*float64(c.expectedChain(o))) + time.Duration(terms.Target)*time.Millisecond
 }
 
 // startTime returns the time from which the duration of an occurrence is measured,
@@ -113,7 +113,7 @@
 
 // updateRank computes the due time, rank and slack of an occurrence.
 func (c *Core) updateRank(o *occurrence) {
-	o.priority = c.queues[o.job.Queue].Priority
+	o.priority = o.job.inForce.Priority
 	o.due = c.dueTime(o)
 	o.rank, o.slack = rankStarted, 0
 	if o.job.isLongRunning() {
--- a/internal/sched/pass.go
+++ b/internal/sched/pass.go
@@ -123,11 +123,11 @@
 // earlier step of the pass showed that none has the capacity.
 func (p *pass) scheduleEverywhere(s *step) {
 	c := p.core
-	service, size := c.serviceOf(s.job), s.Reserved()
-	if t, ok := p.tooLarge[service]; ok && t.Fits(size) && !c.queues[s.job.Queue].Advised && !c.exhaustive {
+	service, size := s.job.service, s.Reserved()
+	if t, ok := p.tooLarge[service]; ok && t.Fits(size) && !s.job.inForce.Advised && !c.exhaustive {
 		return
 	}
-	if c.scheduleStep(s, p.allWorkers) || s.Needs != "" || s.Gang || s.Apart > 0 || c.queues[s.job.Queue].Advised {
+	if c.scheduleStep(s, p.allWorkers) || s.Needs != "" || s.Gang || s.Apart > 0 || s.job.inForce.Advised {
 		return
 	}
 	for _, w := range p.allWorkers {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -113,7 +113,7 @@
 // the given slice, so it must not be changed.
 func (c *Core) candidates(s *step, schedulable []*worker) []*worker {
 	out := c.eligible(s, schedulable)
-	if !c.queues[s.job.Queue].Advised {
+	if !s.job.inForce.Advised {
 		return out
 	}
 	advised := slices.DeleteFunc(slices.Clone(out), func(w *worker) bool {
@@ -128,8 +128,7 @@
 
 // eligible lists the workers that may run a step by its queue and labels.
 func (c *Core) eligible(s *step, schedulable []*worker) []*worker {
-	service := c.serviceOf(s.job)
-	suits := func(w *worker) bool { return w.Service == service && w.hasLabel(s.Needs) }
+	suits := func(w *worker) bool { return w.Service == s.job.service && w.hasLabel(s.Needs) }
 	var out []*worker
 	for i, w := range schedulable {
 		switch {
@@ -146,14 +145,6 @@
 	return out
 }
 
-// serviceOf returns the service whose workers run a job.
-func (c *Core) serviceOf(j *job) string {
-	if q, ok := c.queues[j.Queue]; ok {
-		return q.Service
-	}
-	return j.Service
-}
-
 // name returns the name of the step's occurrence, which is a task's name without
 // the index.
 func (s *step) name() string { return work.StepName(s.job.ID, s.occurrenceNumber, s.index) }
@@ -188,7 +179,7 @@
 
 // lastAttempt reports whether another failure of the task fails the job.
 func (c *Core) lastAttempt(t *task) bool {
-	return !t.step.Lasts && c.maxAttempts(t.step.job)-t.step.countFailures(t) <= 1
+	return !t.step.Lasts && t.step.job.maxAttempts()-t.step.countFailures(t) <= 1
 }
 
 const (
@@ -210,7 +201,7 @@
 func (c *Core) place(t *task, w *worker, run int64) {
 	t.lastRun = run
 	p := newPlacement(t, run, w)
-	if q := c.queues[t.step.job.Queue]; q.Advised {
+	if t.step.job.inForce.Advised {
 		p.ticket, _ = c.ticket(t.step, w)
 	}
 	w.add(p)
@@ -253,7 +244,7 @@
 			return true
 		}
 	}
-	if c.queues[s.job.Queue].Advised {
+	if s.job.inForce.Advised {
 		c.consult(s, c.eligible(s, schedulable))
 	}
 	return false
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -24,7 +24,7 @@
 
 // preempt frees capacity for waiting tasks that is used by work of lower priority.
 func (c *Core) preempt() {
-	if !c.mixedPriorities {
+	if c.highestPriority >= c.lowestPriority {
 		return
 	}
 	urgent := c.urgent()
@@ -47,7 +47,7 @@
 func (c *Core) urgent() []*task {
 	var out []*task
 	for _, j := range c.active {
-		if j.finished() || c.queues[j.Queue].Priority >= c.lowestPriority {
+		if j.finished() || j.inForce.Priority >= c.lowestPriority {
 			continue
 		}
 		for _, s := range j.readySteps() {
@@ -111,7 +111,7 @@
 		switch {
 		case p.stopReason != "":
 			free = free.Add(s.Reserved())
-		case c.queues[s.job.Queue].Priority <= c.queues[t.step.job.Queue].Priority:
+		case s.job.inForce.Priority <= t.step.job.inForce.Priority:
 		case s.Gang || !p.stored || !p.confirmed || s.Lasts && !c.movable(p):
 		default:
 			stoppable = append(stoppable, p)
--- a/internal/sched/ranking.go
+++ b/internal/sched/ranking.go
@@ -57,7 +57,7 @@
 		found = true
 		// A gang needs free capacity on several workers at a time, and the advisor is
 		// asked about all workers in one call.
-		n.everywhere = n.everywhere || s.Gang || c.queues[o.job.Queue].Advised
+		n.everywhere = n.everywhere || s.Gang || o.job.inForce.Advised
 		if s.Fills {
 			n.bestEffort = least(n.bestEffort, s.Size)
 		} else {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -223,7 +223,7 @@
 	case reason == work.Failed && !t.step.Lasts:
 		t.failures++
 		t.failedOn = append(t.failedOn, p.worker.ID)
-		if t.step.countFailures(t) >= c.maxAttempts(j) {
+		if t.step.countFailures(t) >= j.maxAttempts() {
 			c.failJob(j)
 		}
 	}
@@ -297,9 +297,9 @@
 const defaultAttempts = 3
 
 // maxAttempts returns how many failed runs of a task fail the job.
-func (c *Core) maxAttempts(j *job) int {
-	if q, ok := c.queues[j.Queue]; ok && q.Attempts > 0 {
-		return q.Attempts
+func (j *job) maxAttempts() int {
+	if n := j.inForce.Attempts; n > 0 {
+		return n
 	}
 	return defaultAttempts
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -39,6 +39,9 @@
 	Refused bool `cbor:"10,keyasint,omitempty"`
 	// Parts is the number of further rows that hold the job, or 0 if its own row does.
 	Parts int `cbor:"11,keyasint,omitempty"`
+	// Terms are those of the queue at the time of acceptance. They are zero in a job that
+	// an earlier version accepted.
+	Terms Terms `cbor:"12,keyasint,omitempty"`
 }
 
 // LongRunning reports whether the job's tasks run until the job is cancelled.
@@ -293,6 +296,27 @@
 	Decide, Each, Valid int64
 }
 
+// Terms say how the jobs of a queue are scheduled. They are kept with each job, whose queue
+// may be removed from the configuration before the job has ended.
+type Terms struct {
+	Priority int     `cbor:"1,keyasint,omitempty"`
+	Attempts int     `cbor:"2,keyasint,omitempty"`
+	Stretch  float64 `cbor:"3,keyasint,omitempty"`
+	Target   int64   `cbor:"4,keyasint,omitempty"`
+	Advised  bool    `cbor:"5,keyasint,omitempty"`
+	Decide   int64   `cbor:"6,keyasint,omitempty"`
+	Each     int64   `cbor:"7,keyasint,omitempty"`
+	Valid    int64   `cbor:"8,keyasint,omitempty"`
+}
+
+// Terms returns the queue's terms.
+func (q Queue) Terms() Terms {
+	return Terms{
+		Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Target: q.Target,
+		Advised: q.Advised, Decide: q.Decide, Each: q.Each, Valid: q.Valid,
+	}
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name string
