sched, advice: questions to the advisor are asked once, within what it can answer

Cause: a step was asked about again 0.8 s after the last question, also while that was open, and each call was given up after 2 s. The advisor handles calls in turn, also those whose caller has gone. With more than 2 s of calls waiting, each answer came too late and was dropped, and the repetitions kept it so. How long the advisor says that it takes was read and not used.

Change: package advice decides what to ask when. At most two questions are open and none twice; the others wait at the owner in the order of their ranks. The limit of a question follows from what the advisor says for it and those before it, and is doubled while answers come late. An answer shows that earlier ones are lost. Failures pause the questions and are logged (event 308).

Related: an answer replaced the tickets of workers that weren't asked about; a validity of up to 300 ms was never used; a worker that started again under its ID was refused for ever if the one before was; an answer waited behind new jobs in the owner's inbox; errors were counted but not logged.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"lagoonrack/internal/advice"
 	"lagoonrack/internal/await"
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/fault"
@@ -40,7 +41,7 @@
 	Table, Key string
 	Parse      func([]byte) (*work.Config, error)
 	// Advise asks the advisor which workers may run a step.
-	Advise func(ctx context.Context, step string, workers []string) (sched.Advice, error)
+	Advise func(ctx context.Context, q advice.Question) (sched.Advice, error)
 	Clock  clock.Clock
 	Log    logs.Log
 	Tally  *tally.Set
@@ -239,18 +240,14 @@
 	}
 }
 
-// adviceTimeout bounds a call of the advisor. It is long because the advisor handles
-// the calls from one machine one after the other.
-const adviceTimeout = 2 * time.Second
-
 // askAdvisor asks the advisor which workers may run a step.
-func (f *Front) askAdvisor(step string, workers []string) (sched.Advice, error) {
-	ctx, cancel := context.WithTimeout(f.ctx, adviceTimeout)
-	defer cancel()
+func (f *Front) askAdvisor(q advice.Question) (sched.Advice, error) {
 	if f.Advise == nil {
-		return sched.Advice{}, fault.At("advise", step).Errorf("no advisor is set")
+		return sched.Advice{}, fault.At("advise", q.Step).Errorf("no advisor is set")
 	}
-	return f.Advise(ctx, step, workers)
+	ctx, cancel := context.WithTimeout(f.ctx, q.Limit)
+	defer cancel()
+	return f.Advise(ctx, q)
 }
 
 const (
--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -5,8 +5,8 @@
 // that a scheduling pass costs once for the batch. The queue is bounded while the core
 // is behind: an agent has at most one report in the queue, the newest; there is at most
 // one tick; and hints of new or cancelled jobs beyond a limit are dropped, since they are
-// in the store and are read from its feed, whose reader waits for room. Outcomes of orders and of commits are
-// never dropped; there are at most as many as orders and commits in progress.
+// in the store and are read from its feed, whose reader waits for room. Outcomes of orders, of commits and of
+// questions to the advisor are never dropped; there are at most as many as are in progress.
 //
 // In a batch, what frees capacity or prolongs leases comes before what asks for more.
 package inbox
@@ -59,7 +59,7 @@
 		return classReport
 	case sched.Tick:
 		return classTick
-	case sched.Submit, sched.RejectedJob, sched.Advice:
+	case sched.Submit, sched.RejectedJob:
 		return classDemand
 	}
 	return classOutcome
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"lagoonrack/internal/advice"
 	"lagoonrack/internal/await"
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/elect"
@@ -62,8 +63,8 @@
 	// BeforeBatch is called before the scheduler's core handles a batch, with the number
 	// of its events. It may be nil; tests use it to model a slow processor.
 	BeforeBatch func(events int)
-	// AskAdvisor asks the advisor which of the workers may run a step.
-	AskAdvisor func(step string, workers []string) (sched.Advice, error)
+	// AskAdvisor asks the advisor a question. It returns within the question's limit.
+	AskAdvisor func(q advice.Question) (sched.Advice, error)
 
 	mu    sync.Mutex
 	watch elect.Watch
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"lagoonrack/internal/advice"
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -31,7 +32,7 @@
 	case sched.DeleteRows:
 		go l.deleteRows(t, f)
 	case sched.AskAdvisor:
-		go l.askAdvisor(t, f)
+		go l.askAdvisor(t, f.Question)
 	case sched.Decision:
 		l.logDecision(f)
 	}
@@ -138,13 +139,20 @@
 	}
 }
 
-// askAdvisor asks the advisor about a step and passes the answer to the core.
-func (l *Leader) askAdvisor(t *term, f sched.AskAdvisor) {
-	a, err := l.AskAdvisor(f.Step, f.Workers)
+// askAdvisor asks the advisor about a step and passes the answer, or that there is none, to
+// the core.
+func (l *Leader) askAdvisor(t *term, q advice.Question) {
+	began := l.Clock.Now()
+	a, err := l.AskAdvisor(q)
+	took := l.Clock.Now() - began
 	if err != nil {
 		l.Tally.Inc("lagoon_advice_errors_total")
+		l.Log.Info(logs.AdviceFailed, logs.Fields{"step": q.Step, "workers": len(q.Workers), "ms": took.Milliseconds(), "limitMs": q.Limit.Milliseconds(), "error": err.Error()})
+		l.step(t, sched.AdviceFailed{Question: q})
 		return
 	}
+	l.Tally.Seconds(took.Seconds(), "lagoon_advice_seconds")
+	l.Log.Debug(logs.Decided, logs.Fields{"kind": "advice", "step": q.Step, "workers": len(q.Workers), "allowed": len(a.Tickets), "ms": took.Milliseconds()})
 	l.step(t, a)
 }
 
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -43,6 +43,7 @@
 	Snapshot             = Event{305, "snapshot stored", "The state of a cell is in the object store."}
 	OwnerBehind          = Event{306, "owner behind", "The owner handles events later than they arrive. It drops hints of jobs, which it reads from the store later, and answers reports that it could not handle in time as such."}
 	OwnerCaughtUp        = Event{307, "owner caught up", "The owner handles events as they arrive again."}
+	AdviceFailed         = Event{308, "advice failed", "A question to the advisor was given up at its time limit, or got no usable answer. It is asked again after a pause."}
 	Quarantine           = Event{401, "worker quarantined", "Failures speak against a worker; it gets only probe tasks until one succeeds, their tasks fail on other workers too, or the failures are old."}
 	Restored             = Event{402, "worker in use again", "Nothing speaks against a quarantined worker any more, or a silent one answers. The reason is success, or evidence: its tasks fail on other workers too, or the failures are old."}
 	WorkerUnresponsive   = Event{403, "worker silent", "A worker did not answer or report until its leases expired."}
@@ -65,7 +66,7 @@
 		Started, Stopping, Stopped, Failed, StoreOperationFailed, StoreUp, PeerLost, PeerFound, SettingsFileReread, SettingsFileRejected, StoreUnavailable, LinesDropped, Panicked, EntrySkipped,
 		Retried, Hedged, Ejected, MinionUnresponsive, Answered,
 		Accepted, Rejected, OutcomeUnknown, JobCancelled,
-		Owned, CellLost, Released, Decided, Snapshot, OwnerBehind, OwnerCaughtUp,
+		Owned, CellLost, Released, Decided, Snapshot, OwnerBehind, OwnerCaughtUp, AdviceFailed,
 		Quarantine, Restored, WorkerUnresponsive, Fenced,
 		WorkerNew, WorkerDraining, WorkerEnded, OwnerChanged, RunThrottled, StartRefused, OtherIncarnation, WorkerFarewell,
 		Applied, SettingsRejected,
--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -19,7 +19,7 @@
 		GinkgoHelper()
 		Expect(s.adviceRequests).NotTo(BeEmpty())
 		request := s.adviceRequests[len(s.adviceRequests)-1]
-		advice := sched.Advice{Step: request.Step, Tickets: map[string]string{}, Valid: validity, Asked: request.Workers}
+		advice := sched.Advice{Question: request.Question, Tickets: map[string]string{}, Valid: validity}
 		for _, w := range workers {
 			advice.Tickets[w] = "ticket-" + w
 		}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -24,6 +24,7 @@
 	"strings"
 	"time"
 
+	"lagoonrack/internal/advice"
 	"lagoonrack/internal/intake"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
@@ -118,7 +119,7 @@
 	// termStart is when the term began, and confirmedAt a time since which the store has
 	// confirmed the ownership of the cell.
 	termStart, confirmedAt time.Duration
-	advice                 adviceCache
+	advice                 advice.Book
 	// bestEffortBacklog says that more best-effort tasks wait than can be placed
 	// soon.
 	bestEffortBacklog bool
@@ -230,6 +231,8 @@
 		c.handleCommitted(e.Seq)
 	case Advice:
 		c.handleAdvice(e)
+	case AdviceFailed:
+		c.advice.Fail(c.now, e.Question)
 	case Confirmed:
 		c.confirmedAt = max(c.confirmedAt, e.Sent)
 	case Tick:
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -55,16 +55,6 @@
 // Committed reports that the transaction with the number was applied.
 type Committed struct{ Seq uint64 }
 
-// Advice is the advisor's answer for a step: a ticket for each worker that may run
-// it.
-type Advice struct {
-	Step    string
-	Tickets map[string]string
-	Valid   time.Duration
-	// Asked lists the workers that were asked about.
-	Asked []string
-}
-
 // Confirmed reports that the store has confirmed this owner's ownership of the cell, in
 // answer to a call that was sent at a time.
 type Confirmed struct{ Sent time.Duration }
@@ -81,7 +71,6 @@
 func (Results) event()        {}
 func (Configure) event()      {}
 func (Committed) event()      {}
-func (Advice) event()         {}
 func (Confirmed) event()      {}
 func (Tick) event()           {}
 
@@ -114,12 +103,6 @@
 	work.Reply
 }
 
-// AskAdvisor asks the advisor which of the workers may run a step.
-type AskAdvisor struct {
-	Step    string
-	Workers []string
-}
-
 // Decision is an entry for the log of decisions.
 type Decision struct {
 	Kind   string
@@ -137,5 +120,4 @@
 func (DeleteRows) effect() {}
 func (Send) effect()       {}
 func (Reply) effect()      {}
-func (AskAdvisor) effect() {}
 func (Decision) effect()   {}
--- a/internal/sched/purge.go
+++ b/internal/sched/purge.go
@@ -132,7 +132,7 @@
 		return
 	}
 	delete(c.jobs, j.ID)
-	c.advice.dropJob(j.ID)
+	c.advice.DropJob(j.ID)
 	c.deleted[j.ID] = deletedJob{version: e.Version, at: c.now}
 	for _, key := range j.stateKeys() {
 		c.obsoleteRows.add(key)
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -87,6 +87,7 @@
 		}
 		o.gone = true
 		if o.ID == w.ID {
+			c.advice.DropWorker(w.ID)
 			c.inheritRuns(w, o)
 		} else {
 			c.releaseAll(o, "reborn")
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -61,7 +61,7 @@
 		p.worker.record.Refused(c.now)
 		c.logSuspect(p.worker, "refusals")
 	case work.BadTicket:
-		c.advice.dropTicket(p)
+		c.advice.DropTicket(p.task.step.name(), p.worker.ID)
 	}
 	if !p.multipleOrders {
 		c.released.add(p, string(code), c.now)
--- a/internal/sched/terms_test.go
+++ b/internal/sched/terms_test.go
@@ -113,7 +113,7 @@
 		s.advance(tickInterval)
 		Expect(s.tasksPerWorker("job")).To(Equal([]int{0}))
 		Expect(s.adviceRequests).To(HaveLen(1))
-		s.step(sched.Advice{Step: s.adviceRequests[0].Step, Tickets: map[string]string{"w0": "t"}, Asked: []string{"w0"}, Valid: 3 * time.Second})
+		s.step(sched.Advice{Question: s.adviceRequests[0].Question, Tickets: map[string]string{"w0": "t"}, Valid: 3 * time.Second})
 		Expect(s.tasksPerWorker("job")).To(Equal([]int{1}))
 	})
 	It("goes by the configuration again once that has the queue", func() {
--- a/internal/tally/catalogue.go
+++ b/internal/tally/catalogue.go
@@ -19,6 +19,7 @@
 	return []Metric{
 		{"lagoon_accept_seconds", "histogram", "", "entry", "Time from reading a job to its row being stored."},
 		{"lagoon_advice_errors_total", "counter", "", "entry", "Queries to the platform's advisor that failed."},
+		{"lagoon_advice_seconds", "histogram", "", "entry", "Time from a question to the platform's advisor to its answer."},
 		{"lagoon_agent_refusals_total", "counter", "reason", "agent", "Requests that an agent rejected; they certainly did not run."},
 		{"lagoon_answers_total", "counter", "service, outcome", "entry", "Answers to requests of callers."},
 		{"lagoon_commit_seconds", "histogram", "", "entry", "Time of one transaction of the owner, including its retries."},
