sched: chaos tests with jobs that can't be done, changing queues and a slow advisor

TestChaosQueues has these, beside all faults of the others, with random sources of its own: the other variants play as before. It checks that the attempts are those of the acceptance, that a start has a ticket that is valid there, and that, from 7 s after the last fault on, no job has nothing running for 3 s while two workers have room for one of its tasks and under half of the capacity is in use.

In the model, gangs that no two workers can hold and reports of few ends were taken out of this variant: jobs can't end in time with these.

--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -26,6 +26,8 @@
 const (
 	// stepInterval is the time between two steps of the simulation.
 	stepInterval = 20 * time.Millisecond
+	// faultDuration is the time with faults.
+	faultDuration = 6 * time.Second
 	// calmDuration is the time without faults within which all jobs have to finish.
 	calmDuration = 14 * time.Second
 	// lease is the duration of a worker's lease, and timeout how long after its last
@@ -144,6 +146,8 @@
 	// speculative says that some steps allow speculative copies of their tasks, that
 	// some runs are stragglers, and that runs report their progress.
 	speculative bool
+	// queues is what the world has of queues, or nil if they never change.
+	queues *queues
 	// failure describes the first failed check, or is empty.
 	failure   string
 	lastToken uint64
@@ -158,13 +162,20 @@
 	run func()
 }
 
-func newWorld(t testing.TB, seed uint64) *world {
+func newWorld(t testing.TB, seed uint64, v variant) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), rows: map[string][]byte{}, versions: map[string]uint64{}, finished: map[string]bool{}, jobs: map[string]work.Job{},
 		tasks: map[string]*history{}, cancelledAt: map[string]time.Duration{}, pendingReplies: map[uint64]func(work.Reply){},
-		checkEachEvent: seed < sequences,
+		checkEachEvent: seed < sequences, speculative: v.speculative,
+	}
+	if v.queues {
+		w.queues = newQueues(seed)
 	}
 	w.endsPerReport, w.rowBytes, w.tasksPerRow = 1+w.rng.IntN(5), 400+w.rng.IntN(1000), 1+w.rng.IntN(6)
+	if w.queues != nil {
+		// The ends of a wide job must not wait for seconds, since its tasks do.
+		w.endsPerReport += 20
+	}
 	for i := range 2 + w.rng.IntN(3) {
 		r := &node{id: fmt.Sprintf("w%d", i), addr: fmt.Sprintf("a%d", i), size: vect.Size{Cores: 4000, Memory: 100}}
 		w.startWorker(r)
@@ -178,7 +189,7 @@
 func (w *world) chance(p float64) bool { return !w.calm && w.rng.Float64() < p }
 
 // verbose says that the events of a sequence are logged. The environment variable
-// SEED selects the sequence; COPIES, if set, allows speculative copies in it.
+// SEED selects the sequence; COPIES, if set, allows speculative copies in it, and QUEUES queues that change.
 var verbose = os.Getenv("SEED") != ""
 
 // fail records a failed check. Only the first one counts.
@@ -206,6 +217,9 @@
 }
 
 func (w *world) config() *work.Config {
+	if w.queues != nil {
+		return w.queues.config
+	}
 	return &work.Config{Version: 1, Queues: []work.Queue{
 		{Name: "q0", Service: "s", Attempts: maxAttempts, Stretch: 2, Target: 500},
 		{Name: "q1", Service: "s", Attempts: maxAttempts, Stretch: 2, Target: 500, Priority: 2},
@@ -291,6 +305,8 @@
 			}
 		case sched.DeleteRows:
 			w.deleteRows(o, f)
+		case sched.AskAdvisor:
+			w.ask(o, f.Question)
 		case sched.Decision:
 			w.logf("owner %d %+v", o.term, f)
 		}
@@ -468,6 +484,9 @@
 	if !reserved.Add(st.Reserved()).Fits(r.size) {
 		return work.NoCapacity
 	}
+	if !w.hasTicket(r, s, j) {
+		return work.BadTicket
+	}
 	w.checkStart(r, s, o, j, taskID)
 	duration := time.Duration(100+w.rng.IntN(900)) * time.Millisecond
 	if st.Lasts {
@@ -479,7 +498,7 @@
 	if s.Saved != "" {
 		duration = w.workLeft(s)
 	}
-	r.runs[s.Run] = &workerRun{startedAt: w.now, endsAt: w.now + duration, fails: w.chance(0.15), checkpoint: s.Saved}
+	r.runs[s.Run] = &workerRun{startedAt: w.now, endsAt: w.now + duration, fails: w.chance(0.15) || w.queues != nil && w.queues.poison[taskID.Job], checkpoint: s.Saved}
 	w.taskHistory(s.Task).live[r] = s.Num
 	w.logf("start %s run %d on %s by term %d", s.Task, s.Num, r.id, o.Term)
 	return work.Started
@@ -530,7 +549,7 @@
 	if h.ackedDone && !st.Lasts && graceOver {
 		w.fail("%s run %d starts after a successful end was acknowledged", s.Task, s.Num)
 	}
-	if h.ackedFailures >= maxAttempts && !st.Lasts && graceOver {
+	if h.ackedFailures >= w.attemptsOf(j) && !st.Lasts && graceOver {
 		w.fail("%s run %d starts after %d acknowledged failures", s.Task, s.Num, h.ackedFailures)
 	}
 	for _, a := range st.After {
@@ -631,7 +650,7 @@
 				}
 			}
 		case "failed":
-			if w.maxFailures(j) < maxAttempts {
+			if w.maxFailures(j) < w.attemptsOf(j) {
 				w.fail("job %s is reported as failed without enough failed runs", id)
 			}
 		}
@@ -769,8 +788,11 @@
 		s.Copies = w.speculative && !s.Lasts && !s.Gang && !s.Fills
 		j.Steps = append(j.Steps, s)
 	}
+	if w.queues != nil {
+		w.changeJob(&j)
+	}
 	w.jobs[j.ID] = j
-	w.logf("job %s %+v", j.ID, j.Steps)
+	w.logf("job %s of %s %+v", j.ID, j.Queue, j.Steps)
 	data, err := work.Encode(j)
 	if err != nil {
 		w.t.Fatal(err)
@@ -824,13 +846,16 @@
 // settled.
 const settledCheckSteps = 25
 
+// variant selects what a sequence has beside the faults: steps that allow speculative copies,
+// or queues that change.
+type variant struct{ speculative, queues bool }
+
 // runSequence simulates one random sequence: a period with faults, then a calm period
 // in which all jobs that can finish have to finish. It returns the first failed check.
-func runSequence(t testing.TB, seed uint64, speculative bool) string {
-	w := newWorld(t, seed)
-	w.speculative = speculative
+func runSequence(t testing.TB, seed uint64, v variant) string {
+	w := newWorld(t, seed, v)
 	n := 0
-	w.advance(6*time.Second, func() {
+	w.advance(faultDuration, func() {
 		if w.rng.IntN(25) == 0 && n < 12 {
 			n++
 			w.submitRandomJob(n)
@@ -838,6 +863,9 @@
 		if w.rng.IntN(60) == 0 {
 			w.injectFault()
 		}
+		if w.queues != nil && w.queues.rng.IntN(100) == 0 {
+			w.removeQueue()
+		}
 	})
 	w.calm = true
 	for _, o := range w.owners[:len(w.owners)-1] {
@@ -853,11 +881,15 @@
 	// cancellations from the store.
 	w.readJobs()
 	duration := calmDuration
-	if speculative {
+	if v.speculative {
 		// Stragglers take six times as long as other runs.
 		duration *= 3
 	}
-	w.advance(6*time.Second+duration, func() {})
+	w.advance(faultDuration+duration, func() {
+		if w.queues != nil {
+			w.checkIdle()
+		}
+	})
 	if w.failure == "" {
 		w.checkAllFinished()
 	}
@@ -917,12 +949,17 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if failure := runSequence(t, seed, os.Getenv("COPIES") != ""); failure != "" {
+		if failure := runSequence(t, seed, variant{speculative: os.Getenv("COPIES") != "", queues: os.Getenv("QUEUES") != ""}); failure != "" {
 			t.Fatalf("seed %d: %s", seed, failure)
 		}
 		return
 	}
-	n := uint64(sequences)
+	runSequences(t, sequenceCount(t, sequences), variant{})
+}
+
+// sequenceCount returns how many sequences to run instead of the usual number: fewer under the
+// race detector, or those that SEQUENCES says.
+func sequenceCount(t *testing.T, n uint64) uint64 {
 	if race.Enabled {
 		n /= raceDivisor
 	}
@@ -932,7 +969,7 @@
 			t.Fatal(err)
 		}
 	}
-	runSequences(t, n, false)
+	return n
 }
 
 // TestChaosSpeculativeCopies runs random sequences in which a task may have a
@@ -942,16 +979,16 @@
 	if race.Enabled {
 		n /= raceDivisor
 	}
-	runSequences(t, n, true)
+	runSequences(t, n, variant{speculative: true})
 }
 
 // runSequences runs the sequences with seeds below n.
-func runSequences(t *testing.T, n uint64, speculative bool) {
+func runSequences(t *testing.T, n uint64, v variant) {
 	for shard := range uint64(shards) {
 		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
 			t.Parallel()
 			for seed := shard; seed < n; seed += shards {
-				if failure := runSequence(t, seed, speculative); failure != "" {
+				if failure := runSequence(t, seed, v); failure != "" {
 					t.Fatalf("seed %d: %s", seed, failure)
 				}
 			}
