ports: no process is started while a port is tried

TestSoak failed at times with "listen tcp 127.0.0.1:26067: bind: address already in use" (1 of 4 runs of all tests on arm64): a process that another test is starting holds a copy of the socket that tried the port until it executes its program.

--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 )
 
 // The first port of the range of each test package. Each range has 3,000 ports or
@@ -18,6 +19,7 @@
 	Scene    = 20_000
 	Platform = 23_000
 	Soak     = 26_000
+	Ports    = 29_000
 )
 
 // Range allocates the ports from First+1 upwards, each once.
@@ -32,11 +34,21 @@
 func (r *Range) Next() string {
 	for {
 		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(r.First+int(r.issued.Add(1))))
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue // The port is in use.
+		if isFree(addr) {
+			return addr
 		}
-		_ = l.Close()
-		return addr
 	}
 }
+
+// isFree reports whether no process listens on an address. A process that is being started
+// holds copies of this process's sockets until it executes its program, so none is started
+// while the address is tried.
+func isFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	return l.Close() == nil
+}
