turns, agent, runner: entries are asked for the owner in turn

TestScenes/operate failed at times (arm64: 2 of 9 runs by itself): an agent that has lost its owner asked the first entry of a map. Go takes the same one of two in 7 of 8 tries, so a dead entry was asked 17 times on end, for 10 s, while a live one was not.

Package turns tries each address before one is tried again, dead owners included, and lets users begin at different ones. It replaces both copies of the loop. With any one of N entries alive it is found in N tries (TestLiveAddressIsFoundInOneRound, for N up to 12).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -29,6 +29,7 @@
 	"lagoonrack/internal/setup"
 	"lagoonrack/internal/tally"
 	"lagoonrack/internal/ticker"
+	"lagoonrack/internal/turns"
 	"lagoonrack/internal/wire"
 )
 
@@ -78,11 +79,13 @@
 	core  admit.Core
 	calls map[callKey]*pendingCall
 
-	// entryMu guards entries and owner.
+	// entryMu guards entries, turns and owner.
 	entryMu sync.Mutex
 	// entries holds the RPC addresses of all known entries with the time of their
 	// last answer, or of their discovery if they have not answered yet.
 	entries map[string]time.Duration
+	// turns chooses the entry that is asked for the owner.
+	turns turns.Turns
 	// owner is the address to which reports are sent: that of the owner of the
 	// worker's cell, of an entry that may know it, or "".
 	owner string
@@ -122,6 +125,7 @@
 		incarnation: ulid.Make().String(),
 		calls:       map[callKey]*pendingCall{},
 		entries:     map[string]time.Duration{},
+		turns:       turns.Turns{Name: settings.Name},
 	}
 	a.ticker = ticker.New(a.tick)
 	a.grants.Send, a.grants.Merge = a.sendGrant, mergeGrants
--- a/internal/agent/loops.go
+++ b/internal/agent/loops.go
@@ -256,14 +256,13 @@
 	if owner != "" {
 		return owner
 	}
-	// Map iteration order is random, so the retries are spread over the entries.
+	entries := a.knownEntries()
 	a.entryMu.Lock()
 	defer a.entryMu.Unlock()
-	for e := range a.entries {
-		a.owner = e
-		return e
+	if a.owner == "" {
+		a.owner = a.turns.Next(entries)
 	}
-	return ""
+	return a.owner
 }
 
 // replaceOwner sets the address to which reports are sent, unless it has changed from
@@ -271,6 +270,7 @@
 func (a *Agent) replaceOwner(old, addr string) {
 	a.entryMu.Lock()
 	defer a.entryMu.Unlock()
+	a.turns.Tried(old)
 	if a.owner == old {
 		a.owner = addr
 	}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -134,6 +134,7 @@
 func (r *Runner) ownerLost(owner string, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.turns.Tried(owner)
 	if r.owner == owner {
 		r.owner = ""
 		r.Log.Info(logs.PeerLost, logs.Fields{"owner": owner, "error": err.Error()})
@@ -231,12 +232,10 @@
 	r.mu.Lock()
 	known := r.owner != ""
 	now := r.Clock.Now()
-	var entry string
+	var entries []string
 	for e, at := range r.entries {
-		// Map iteration order is random, so the lookups are spread over the entries.
 		if now-at < entryExpiry {
-			entry = e
-			break
+			entries = append(entries, e)
 		}
 	}
 	r.mu.Unlock()
@@ -252,8 +251,8 @@
 	case r.owner != "":
 	case err == nil && holder.Addr != "" && holder.Term >= r.term && holder.Addr != r.triedOwner:
 		r.owner = holder.Addr
-	case entry != "":
-		r.owner = entry
+	case len(entries) > 0:
+		r.owner = r.turns.Next(entries)
 	}
 	r.triedOwner = ""
 	if r.owner == holder.Addr {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -21,6 +21,7 @@
 	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/sched"
 	"lagoonrack/internal/tally"
+	"lagoonrack/internal/turns"
 	"lagoonrack/internal/work"
 )
 
@@ -69,6 +70,8 @@
 	owner string
 	// entries holds the addresses of entries and when a reply last listed them.
 	entries map[string]time.Duration
+	// turns chooses the entry that is asked for the owner.
+	turns turns.Turns
 	// challenge is the newest Challenge that an owner has sent, or 0. Reports repeat
 	// it.
 	challenge uint64
@@ -133,6 +136,7 @@
 	r.workerAnnounced = make(chan struct{}, 1)
 	r.endsStored = make(chan struct{}, 1)
 	r.entries = map[string]time.Duration{}
+	r.turns.Name = r.Name
 	r.reset(work.Worker{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.loops.Go(func() { r.loopLease(r.ctx) })
