sched, advice: the advisor is asked about further workers if the first ones are full

Cause: a question named the first 30 workers in the order of their IDs, full or not, and the advisor was asked again only if no worker had a valid ticket.

Evidence: specs of advice_test.go on the commit before: "asks about further workers if those that the advisor allows are full" and "... once the others are full" fail: no task is placed there.

Change: workers that can take a task come first in a question, and if those with tickets can't take a waiting task, further ones that can are asked about, within the limits of package advice. Tickets that end before the next question are renewed with it.

The spec "keeps its tickets when a worker joins" expected no question then. The task that waits there fits only on the new worker, so a question about it is right; the spec expects that now, and that the earlier ticket still counts after an answer that doesn't repeat it.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -91,7 +91,7 @@
 )
 
 // Ask returns a question about those of the workers of which it isn't known whether they may
-// run a step. It returns false if nothing is to be asked now. The caller asks for the most
+// run a step, or won't be for long. It returns false if nothing is to be asked now. The caller asks for the most
 // urgent steps first.
 func (b *Book) Ask(now time.Duration, name string, workers []string, p Pace) (Question, bool) {
 	if len(b.open) >= maxOpen || now < b.pauseUntil || b.isOpen(name) {
@@ -102,14 +102,23 @@
 		return Question{}, false
 	}
 	q := Question{Step: name, askedAt: now}
+	var renewed []string
 	for _, w := range workers {
-		if _, ok := s.ticket(w, now); !ok && !s.refused[w] && len(q.Workers) < maxWorkers {
+		if s.refused[w] {
+			continue
+		}
+		if _, ok := s.ticket(w, now); !ok {
 			q.Workers = append(q.Workers, w)
+		} else if _, ok := s.ticket(w, now+askInterval); !ok {
+			renewed = append(renewed, w)
 		}
 	}
 	if len(q.Workers) == 0 {
 		return Question{}, false
 	}
+	// A step may need several workers at a time, so their tickets have to overlap.
+	q.Workers = append(q.Workers, renewed...)
+	q.Workers = q.Workers[:min(maxWorkers, len(q.Workers))]
 	b.idleAt = max(b.idleAt, now) + p.Question + time.Duration(len(q.Workers))*p.Worker
 	q.Limit = (minLimit + limitFactor*(b.idleAt-now)) << b.patience
 	b.number++
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -37,11 +37,20 @@
 }
 
 // consult asks the advisor which of the workers may run a step, unless it is busy with other
-// questions. Passes call it in the order of the steps' ranks.
-func (c *Core) consult(s *step, workers []*worker) {
-	ids := make([]string, len(workers))
-	for i, w := range workers {
-		ids[i] = w.ID
+// questions. Passes call it in the order of the steps' ranks. Workers that can take a task now
+// are named first, since a question names only some; if a step has tickets already, for workers
+// that are full, no others are named.
+func (c *Core) consult(s *step, workers []*worker, hasTickets bool) {
+	var ids, full []string
+	for _, w := range workers {
+		if o := c.evaluate(s, w); o.idle {
+			ids = append(ids, w.ID)
+		} else {
+			full = append(full, w.ID)
+		}
+	}
+	if !hasTickets {
+		ids = append(ids, full...)
 	}
 	terms := &s.job.inForce
 	pace := advice.Pace{Question: time.Duration(terms.Decide) * time.Millisecond, Worker: time.Duration(terms.Each) * time.Millisecond}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -86,6 +86,9 @@
 	}
 	if s.Gang {
 		c.scheduleGang(s, candidates)
+		if s.waiting > 0 {
+			c.consultFurther(s, schedulable)
+		}
 		return s.waiting == 0
 	}
 	l := c.newShortlist(s, candidates)
@@ -95,6 +98,7 @@
 		}
 		o := c.choose(l, t)
 		if o == nil {
+			c.consultFurther(s, schedulable)
 			return false
 		}
 		c.place(t, o.worker, t.lastRun+1)
@@ -121,7 +125,7 @@
 		return !ok
 	})
 	if len(advised) == 0 && s.waiting > 0 {
-		c.consult(s, out)
+		c.consult(s, out, false)
 	}
 	return advised
 }
@@ -244,10 +248,16 @@
 			return true
 		}
 	}
+	c.consultFurther(s, schedulable)
+	return false
+}
+
+// consultFurther asks the advisor about further workers if those that it has allowed can't take
+// a step's task.
+func (c *Core) consultFurther(s *step, schedulable []*worker) {
 	if s.job.inForce.Advised {
-		c.consult(s, c.eligible(s, schedulable))
+		c.consult(s, c.eligible(s, schedulable), true)
 	}
-	return false
 }
 
 // scheduleGang starts the tasks of a gang together if there is capacity for all of
