leader: a new owner gets a configuration that came into force during its takeover

A version that was applied between the load's reading of the configuration and the end of the takeover was passed on while there was no term, and the scheduler of the new owner went by the earlier one until the next version.

--- a/internal/leader/takeover_test.go
+++ b/internal/leader/takeover_test.go
@@ -47,10 +47,12 @@
 	t      *testing.T
 	store  *rows.Store
 	config *work.Config
-	nodes  []*node
-	agents []*agent
-	loops  sync.WaitGroup
-	ctx    context.Context
+	// earlierConfig, if set, is in force instead until an entry has read it once.
+	earlierConfig atomic.Pointer[work.Config]
+	nodes         []*node
+	agents        []*agent
+	loops         sync.WaitGroup
+	ctx           context.Context
 
 	mu     sync.Mutex
 	starts []start
@@ -196,7 +198,12 @@
 	n.ctx, n.stop = context.WithCancel(f.ctx)
 	n.Leader = &leader.Leader{
 		Name: fmt.Sprintf("entry-%d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Rows: f.rows(n), Clock: clock.Steady(), Tally: &tally.Set{}, Limits: f.limits,
-		Config:        func() *work.Config { return f.config },
+		Config: func() *work.Config {
+			if c := f.earlierConfig.Swap(nil); c != nil {
+				return c
+			}
+			return f.config
+		},
 		Rank:          func() int { return f.rank(n) },
 		Send:          func(a string, o work.Order) (work.Results, error) { return f.sendOrder(n, a, o) },
 		AnnounceOwner: func(string, work.Order) {},
@@ -714,3 +721,23 @@
 		g.Expect(renewedAt.Sub(cutAt)).To(BeNumerically("<", limits.OwnerTimeout), "the last reply that allows a renewal")
 	})
 }
+
+// A version of the configuration that came into force between the reading of the configuration
+// and the end of the takeover never reached the scheduler of the new owner.
+func TestTakeoverGetsConfigurationThatComesMeanwhile(t *testing.T) {
+	runFleetTest(t, func(g *WithT, f *fleet) {
+		earlier := *f.config
+		earlier.Version--
+		earlier.Queues = slices.Clone(earlier.Queues)
+		for i := range earlier.Queues {
+			earlier.Queues[i].Service = "other"
+		}
+		f.earlierConfig.Store(&earlier)
+		_, term := f.owner().Owner()
+		f.owner().stop()
+		at := time.Now()
+		time.Sleep(settleTime)
+		g.Expect(f.earlierConfig.Load()).To(BeNil(), "the new owner has read it")
+		g.Expect(f.firstStartAfter(at, term+1)).To(BeNumerically("<=", 3*time.Second))
+	})
+}
