daemon: a SIGHUP while a process starts or stops does not end it

The handler of SIGHUP was installed once a program had started and removed when its planned stop began.

The handler now stays from the beginning to the end of the process.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,6 +94,9 @@
 }
 
 func (d Daemon) run(ctx context.Context, c *cli.Command, s proc.Settings, out io.Writer) error {
+	// Until the process ends: by default, the signal would end it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	lines := sink.New(out)
 	defer lines.Close()
 	log, err := logs.New(lines, s.Log.Format, s.Log.Level, s.Name)
@@ -105,7 +108,7 @@
 		log.Error(logs.Failed, err, nil)
 		return err
 	}
-	d.waitForStop(ctx, c.String("settings"), s, log)
+	d.waitForStop(ctx, hup, c.String("settings"), s, log)
 	stop()
 	return nil
 }
@@ -113,10 +116,7 @@
 // waitForStop returns when the context ends. On SIGHUP it reads and validates the
 // settings file again and logs the result; changed settings take effect at the next
 // start.
-func (d Daemon) waitForStop(ctx context.Context, file string, s proc.Settings, log logs.Log) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (d Daemon) waitForStop(ctx context.Context, hup <-chan os.Signal, file string, s proc.Settings, log logs.Log) {
 	for {
 		select {
 		case <-ctx.Done():
