sched: a task that waits although a worker has the capacity says why

Each half second the owner now looks at the first waiting steps in the order of scheduling. For a task that has waited for over a second it logs one line, event 304 `held` with the reason (label, advice, refused, moving, avoided, suspect, spread, headroom, gang) and the time that it has waited, again each 10 s; at most 5 lines and 20 steps a look. `lagoon_tasks_held` counts them by reason.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -208,6 +208,12 @@
 	return t.text, ok && now < t.validUntil
 }
 
+// Refused reports whether the advisor has said that a worker may not run a step.
+func (b *Book) Refused(name, worker string) bool {
+	s := b.steps[name]
+	return s != nil && s.refused[worker]
+}
+
 // DropTicket forgets a ticket that a worker has rejected.
 func (b *Book) DropTicket(name, worker string) {
 	if s := b.steps[name]; s != nil {
--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -97,6 +97,9 @@
 	r.failures = slices.DeleteFunc(r.failures, func(f failure) bool { return now-f.at > memory })
 }
 
+// Empty reports whether no failure is recorded.
+func (r *Record) Empty() bool { return len(r.failures) == 0 }
+
 // Suspect reports whether the failures speak against the worker with the given ID.
 func (r *Record) Suspect(worker string, now time.Duration) bool {
 	if len(r.failures) < suspectFailures {
@@ -120,8 +123,4 @@
 
 // Trim drops what does not count any more, so that the kinds of ended jobs are not kept in
 // memory.
-func (r *Record) Trim(now time.Duration) {
-	if len(r.failures) > 0 {
-		r.forget(now)
-	}
-}
+func (r *Record) Trim(now time.Duration) { r.forget(now) }
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -40,6 +40,9 @@
 	each(func(c sched.Census) float64 { return float64(c.Placed) }, "lagoon_tasks", "state", "placed")
 	each(func(c sched.Census) float64 { return float64(c.Waiting) }, "lagoon_tasks", "state", "waiting")
 	each(func(c sched.Census) float64 { return float64(c.Jobs) }, "lagoon_jobs_active")
+	for _, r := range sched.HeldReasons() {
+		each(func(c sched.Census) float64 { return float64(c.Held[r]) }, "lagoon_tasks_held", "reason", r)
+	}
 }
 
 // milliPerCore converts thousandths of a core to cores.
--- a/internal/sched/census.go
+++ b/internal/sched/census.go
@@ -1,5 +1,7 @@
 package sched
 
+import "maps"
+
 // Census is a count of workers, tasks and jobs at one moment, made when the metrics
 // are read.
 type Census struct {
@@ -16,11 +18,17 @@
 	Placed, Waiting int
 	// Jobs counts the jobs that are not finished.
 	Jobs int
+	// Held counts, by reason, waiting tasks that are not placed although a worker has the
+	// capacity, among the first ones in the order of scheduling. It is nil if there are none.
+	Held map[string]int
 }
 
 // Census counts the workers, tasks and jobs that the owner knows now.
 func (c *Core) Census() Census {
 	var out Census
+	if len(c.held) > 0 {
+		out.Held = maps.Clone(c.held)
+	}
 	for _, w := range c.workers {
 		if w.reported && !w.gone && c.workerByAgent[w.agent] == w {
 			c.countWorker(w, &out)
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -120,6 +120,9 @@
 	// confirmed the ownership of the cell.
 	termStart, confirmedAt time.Duration
 	advice                 advice.Book
+	// held counts tasks that are held back by reason, as of heldAt.
+	held   map[string]int
+	heldAt time.Duration
 	// bestEffortBacklog says that more best-effort tasks wait than can be placed
 	// soon.
 	bestEffortBacklog bool
@@ -199,10 +202,17 @@
 func (c *Core) Step(now time.Duration, events ...Event) []Effect {
 	c.now = max(now, c.now)
 	c.effects = c.effects[:0]
+	ticked := false
 	for _, e := range events {
 		c.handle(e)
+		_, tick := e.(Tick)
+		ticked = ticked || tick
 	}
 	c.schedule()
+	if ticked && c.now-c.heldAt >= heldCheckInterval {
+		c.heldAt = c.now
+		c.noteHeld()
+	}
 	c.commitDirty()
 	c.sendOrders()
 	return c.effects
--- a/internal/sched/shortlist.go
+++ b/internal/sched/shortlist.go
@@ -96,15 +96,23 @@
 
 // allowed reports whether a task may go to a worker apart from its capacity.
 func (c *Core) allowed(t *task, w *worker) bool {
+	if t.moveTarget == nil && t.avoidWorker == "" && w.record.Empty() {
+		return true
+	}
+	return c.exclusion(t, w) == ""
+}
+
+// exclusion returns why a task may not go to a worker apart from its capacity, or "".
+func (c *Core) exclusion(t *task, w *worker) string {
 	switch {
 	case t.moveTarget != nil && c.now < t.moveTargetUntil && w != t.moveTarget:
-		return false
+		return heldMoving
 	case t.avoidWorker == w.ID && c.now-t.avoidSince < avoidDuration && c.waitTime(t) < exclusionPatience:
-		return false
+		return heldAvoided
 	case c.suspect(w) && !c.mayProbe(t, w):
-		return false
+		return heldSuspect
 	}
-	return true
+	return ""
 }
 
 // chooseAmong returns the best of the candidates for a task, or nil if none can take it
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -42,6 +42,8 @@
 	placed int
 	// everStarted says that some task of the step was placed at least once.
 	everStarted bool
+	// heldLoggedAt is when it was last logged that the step's tasks are held back, or 0.
+	heldLoggedAt time.Duration
 	// kind is what the ends of the step's runs tell about its tasks.
 	kind blame.Kind
 }
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -90,7 +90,7 @@
 )
 
 // suspect reports whether a worker only gets single test runs.
-func (c *Core) suspect(w *worker) bool { return w.record.Suspect(w.ID, c.now) }
+func (c *Core) suspect(w *worker) bool { return !w.record.Empty() && w.record.Suspect(w.ID, c.now) }
 
 // noteFailure records a failed or stalled run.
 func (c *Core) noteFailure(p *placement, reason string) {
@@ -358,8 +358,10 @@
 			c.orderStart(p)
 		}
 	}
-	w.record.Trim(c.now)
-	c.logSuspect(w, "evidence")
+	if !w.record.Empty() {
+		w.record.Trim(c.now)
+		c.logSuspect(w, "evidence")
+	}
 	c.drain(w)
 	c.moveStarved(w)
 }
