front: a late answer of the store shows that it is slow and not down

What callers saw (TestASlowStoreStillTakesJobs, 2 of 20 runs on arm64): 504 for a job, by a store that answers each call after 800 ms.

Cause: a call that is sent before any slow answer has come has its usual limit, 800 ms for a new owner's first read of its row. When it was given up, the store counted as down until a probe was answered another 801 ms later, and the rest of the job's time was too short for the write.

Evidence: the log of a run that failed on x86-64: 301 at 25.569 s, 111 "read cell/title ... deadline exceeded" at 26.370, 106 after 801 ms at 27.171, 208 for the job at 27.664. TestLateAnswerShowsSlowStore on the code before: the store still counts as down after the answer.

Change: a call that is given up goes on for a while, and its answer counts. Limits of calls and of tests are as they were.

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"lagoonrack/internal/clock"
+	"lagoonrack/internal/fault"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/rpcs"
@@ -107,32 +109,74 @@
 
 // commitDirect commits a transaction without a relay.
 func (f *Front) commitDirect(ctx context.Context, txn plat.Txn) (plat.Stamp, error) {
-	began := f.Clock.Now()
-	s, err := f.Rows.Commit(ctx, txn)
-	f.recordResult(ctx, began, err)
-	return s, err
+	return callStore(ctx, f, "commit", func(ctx context.Context) (plat.Stamp, error) { return f.Rows.Commit(ctx, txn) })
 }
 
 // readDirect reads a row without a relay.
 func (f *Front) readDirect(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
-	began := f.Clock.Now()
-	row, s, err := f.Rows.Read(ctx, key)
-	f.recordResult(ctx, began, err)
-	return row, s, err
+	type found struct {
+		row   plat.Row
+		stamp plat.Stamp
+	}
+	x, err := callStore(ctx, f, "read "+key, func(ctx context.Context) (found, error) {
+		row, s, err := f.Rows.Read(ctx, key)
+		return found{row, s}, err
+	})
+	return x.row, x.stamp, err
 }
 
-// recordResult records whether the store answered a call. A call that was cancelled
-// says nothing about the store and is ignored.
-func (f *Front) recordResult(ctx context.Context, began time.Duration, err error) {
+// lateTimeout is how long the answer to a call of the store counts that may have been given up.
+const lateTimeout = 2400 * time.Millisecond
+
+// callStore makes a call of the store and records whether it was answered. A call that is given
+// up goes on for a while: if its answer comes late, the store is slow and not down, and later
+// calls get more time.
+func callStore[T any](ctx context.Context, f *Front, step string, call func(context.Context) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	began := f.Clock.Now()
+	results := make(chan result, 1)
+	go func() {
+		c, cancel := context.WithTimeout(f.ctx, lateTimeout)
+		defer cancel()
+		var r result
+		r.value, r.err = call(c)
+		results <- r
+		// After that of the failure, if the call was given up at this moment.
+		if isAnswer(r.err) {
+			f.recordAnswer(began)
+		}
+	}()
+	r := result{}
+	select {
+	case r = <-results:
+	case <-ctx.Done():
+		r.err = fault.At(step, "store").Wrap(fmt.Errorf("%w: %w", plat.ErrUnavailable, ctx.Err()))
+	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-	case err == nil || errors.Is(err, plat.ErrConflict):
+	case isAnswer(r.err):
 		f.recordAnswer(began)
-	default:
-		f.recordFailure(err)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		// A call that was cancelled says nothing about the store.
+		f.recordFailure(r.err)
+		select {
+		case r = <-results:
+			// The answer came when the call was given up.
+			if isAnswer(r.err) {
+				f.recordAnswer(began)
+			}
+		default:
+		}
 	}
+	return r.value, r.err
 }
 
+// isAnswer reports whether a call of the store that returned an error, or none, was answered by
+// it.
+func isAnswer(err error) bool { return err == nil || errors.Is(err, plat.ErrConflict) }
+
 // recordAnswer records that the store serves this entry and how long a call took.
 func (f *Front) recordAnswer(began time.Duration) {
 	now := f.Clock.Now()
