front: requests in the last moments of a planned stop reach the store

No test of ours showed it.

Change: a call runs as long as its own context does. Only when the time of that is up, the rest of the call, which serves to learn that the store is slow, ends with the entry.

TestCallsOfStoreGoOnInPlannedStop fails on the code before: "commit: context canceled".

--- a/internal/front/late_test.go
+++ b/internal/front/late_test.go
@@ -84,7 +84,27 @@
 	if limit := f.storeTimeout.For(f.Clock.Now(), lateLatency); answers && limit < 2*lateLatency {
 		t.Errorf("the next call may take %v", limit)
 	}
-	time.Sleep(2 * lateTimeout)
 	stop()
 	f.loops.Wait()
 }
+
+// TestCallsOfStoreGoOnInPlannedStop guards against requests that come in the last moments of a
+// planned stop, when the entry's loops have been ended, and whose calls of the store then fail.
+func TestCallsOfStoreGoOnInPlannedStop(t *testing.T) {
+	f := newFront(&rows.Store{})
+	f.Rows = plat.Rows{
+		Read: func(ctx context.Context, _ string) (plat.Row, plat.Stamp, error) {
+			return plat.Row{}, plat.Stamp{}, ctx.Err()
+		},
+		Commit: func(ctx context.Context, _ plat.Txn) (plat.Stamp, error) { return plat.Stamp{}, ctx.Err() },
+	}
+	var stop context.CancelFunc
+	f.ctx, stop = context.WithCancel(t.Context())
+	stop()
+	if _, err := f.commitDirect(t.Context(), plat.Txn{}); err != nil {
+		t.Errorf("commit: %v", err)
+	}
+	if _, _, err := f.readDirect(t.Context(), "table/key"); err != nil {
+		t.Errorf("read: %v", err)
+	}
+}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -139,7 +139,7 @@
 	began := f.Clock.Now()
 	results := make(chan result, 1)
 	go func() {
-		c, cancel := context.WithTimeout(f.ctx, lateTimeout)
+		c, cancel := f.lateContext(ctx)
 		defer cancel()
 		var r result
 		r.value, r.err = call(c)
@@ -173,6 +173,32 @@
 	return r.value, r.err
 }
 
+// lateContext returns a context for a call that goes on when the time of ctx is up, until
+// lateTimeout from now or the end of the entry. Before, it does not depend on the entry's
+// context: in a planned stop, requests are served after that has ended.
+func (f *Front) lateContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	var late context.Context
+	var cancel context.CancelFunc
+	if deadline, ok := ctx.Deadline(); ok {
+		late, cancel = context.WithTimeout(context.WithoutCancel(ctx), max(lateTimeout, time.Until(deadline)))
+	} else {
+		late, cancel = context.WithCancel(context.WithoutCancel(ctx))
+	}
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			select {
+			case <-f.ctx.Done():
+			case <-late.Done():
+			}
+		}
+		cancel()
+	})
+	return late, func() {
+		stop()
+		cancel()
+	}
+}
+
 // isAnswer reports whether a call of the store that returned an error, or none, was answered by
 // it.
 func isAnswer(err error) bool { return err == nil || errors.Is(err, plat.ErrConflict) }
