--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -37,11 +37,11 @@
 	}
 }
 
-// expectTicket compares the ticket of a worker; an empty one means none.
-func expectTicket(t *testing.T, b *Book, now time.Duration, step, worker, want string) {
+// expectTicket compares the ticket of a worker for step "a"; an empty one means none.
+func expectTicket(t *testing.T, b *Book, now time.Duration, worker, want string) {
 	t.Helper()
-	if got, ok := b.Ticket(now, step, worker); ok != (want != "") || ok && got != want {
-		t.Errorf("ticket of %s for %s at %v: %q, %v, want %q", step, worker, now, got, ok, want)
+	if got, ok := b.Ticket(now, "a", worker); ok != (want != "") || ok && got != want {
+		t.Errorf("ticket for %s at %v: %q, %v, want %q", worker, now, got, ok, want)
 	}
 }
 
@@ -164,15 +164,15 @@
 	t.Run("workers that are known aren't asked about", func(t *testing.T) {
 		var b Book
 		b.Answer(0, ask(t, &b, 0, "a", "w0", "w1"), map[string]string{"w1": "t"}, 3*time.Second)
-		expectTicket(t, &b, 0, "a", "w0", "")
-		expectTicket(t, &b, 0, "a", "w1", "t")
+		expectTicket(t, &b, 0, "w0", "")
+		expectTicket(t, &b, 0, "w1", "t")
 		expectSilence(t, &b, time.Second, "a", "w0", "w1")
 		q := ask(t, &b, time.Second, "a", "w0", "w1", "w2")
 		if !slices.Equal(q.Workers, []string{"w2"}) {
 			t.Errorf("asked about %v", q.Workers)
 		}
 		b.Answer(2*time.Second, q, map[string]string{"w2": "u"}, 3*time.Second)
-		expectTicket(t, &b, 2*time.Second, "a", "w1", "t")
+		expectTicket(t, &b, 2*time.Second, "w1", "t")
 		if q := ask(t, &b, 3*time.Second, "a", "w0", "w1", "w2"); !slices.Equal(q.Workers, []string{"w1"}) {
 			t.Errorf("asked about %v once a ticket has expired", q.Workers)
 		}
@@ -195,8 +195,8 @@
 	t.Run("a ticket of a short validity can be used", func(t *testing.T) {
 		var b Book
 		b.Answer(time.Second, ask(t, &b, 0, "a", "w0"), map[string]string{"w0": "t"}, 200*time.Millisecond)
-		expectTicket(t, &b, time.Second+90*time.Millisecond, "a", "w0", "t")
-		expectTicket(t, &b, time.Second+100*time.Millisecond, "a", "w0", "")
+		expectTicket(t, &b, time.Second+90*time.Millisecond, "w0", "t")
+		expectTicket(t, &b, time.Second+100*time.Millisecond, "w0", "")
 	})
 	t.Run("failures are followed by pauses, up to a bound", func(t *testing.T) {
 		var b Book
@@ -236,14 +236,14 @@
 			t.Errorf("limit %v", again.Limit)
 		}
 		b.Answer(now, lost, map[string]string{"w0": "t"}, 3*time.Second)
-		expectTicket(t, &b, now, "a", "w0", "t")
+		expectTicket(t, &b, now, "w0", "t")
 	})
 	t.Run("a worker that starts again under its ID is asked about again", func(t *testing.T) {
 		var b Book
 		b.Answer(0, ask(t, &b, 0, "a", "w0", "w1"), map[string]string{"w1": "t"}, 3*time.Second)
 		b.DropWorker("w0")
 		b.DropWorker("w1")
-		expectTicket(t, &b, 0, "a", "w1", "")
+		expectTicket(t, &b, 0, "w1", "")
 		q := ask(t, &b, time.Second, "a", "w0", "w1")
 		if len(q.Workers) != 2 {
 			t.Errorf("asked about %v", q.Workers)
@@ -251,7 +251,7 @@
 		b.DropWorker("w0")
 		b.DropWorker("w1")
 		b.Answer(time.Second, q, map[string]string{"w1": "t"}, 3*time.Second)
-		expectTicket(t, &b, time.Second, "a", "w1", "")
+		expectTicket(t, &b, time.Second, "w1", "")
 		if q := ask(t, &b, 2*time.Second, "a", "w0", "w1"); len(q.Workers) != 2 {
 			t.Errorf("asked about %v", q.Workers)
 		}
