advice, sched: no question is prepared while none may be asked

Each pass evaluated all workers for each waiting step with an advisor, also while the advisor was busy with other questions, and dropped the result. The check comes first now. Some comments say more plainly what they mean. No change of behaviour: all specs pass as before.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -94,13 +94,10 @@
 // run a step, or won't be for long. It returns false if nothing is to be asked now. The caller asks for the most
 // urgent steps first.
 func (b *Book) Ask(now time.Duration, name string, workers []string, p Pace) (Question, bool) {
-	if len(b.open) >= maxOpen || now < b.pauseUntil || b.isOpen(name) {
+	if !b.MayAsk(now, name) {
 		return Question{}, false
 	}
 	s := b.of(name)
-	if now < s.askAgainAt {
-		return Question{}, false
-	}
 	q := Question{Step: name, askedAt: now}
 	var renewed []string
 	for _, w := range workers {
@@ -128,6 +125,15 @@
 	return q, true
 }
 
+// MayAsk reports whether a question about a step may be asked now.
+func (b *Book) MayAsk(now time.Duration, name string) bool {
+	if len(b.open) >= maxOpen || now < b.pauseUntil || b.isOpen(name) {
+		return false
+	}
+	s := b.steps[name]
+	return s == nil || now >= s.askAgainAt
+}
+
 // isOpen reports whether a question about a step is open.
 func (b *Book) isOpen(name string) bool {
 	return slices.ContainsFunc(b.open, func(q Question) bool { return q.Step == name })
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -144,7 +144,7 @@
 		var r result
 		r.value, r.err = call(c)
 		results <- r
-		// After that of the failure, if the call was given up at this moment.
+		// This is recorded after the failure if the call is given up at the same moment.
 		if isAnswer(r.err) {
 			f.recordAnswer(began)
 		}
--- a/internal/leader/claim.go
+++ b/internal/leader/claim.go
@@ -224,7 +224,7 @@
 	l.mu.Lock()
 	l.term, l.claimedTerm = t, 0
 	l.mu.Unlock()
-	// One that came into force since the load was passed to nobody.
+	// A configuration that came into force since the load was passed to no term.
 	l.Configure(l.Config())
 	t.loops.Go(func() { l.loopEvents(t) })
 	t.loops.Go(func() { l.loopCommits(t) })
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -41,6 +41,9 @@
 // are named first, since a question names only some; if a step has tickets already, for workers
 // that are full, no others are named.
 func (c *Core) consult(s *step, workers []*worker, hasTickets bool) {
+	if !c.advice.MayAsk(c.now, s.name()) {
+		return
+	}
 	var ids, full []string
 	for _, w := range workers {
 		if o := c.evaluate(s, w); o.idle {
--- a/internal/sched/held.go
+++ b/internal/sched/held.go
@@ -96,9 +96,8 @@
 		if !w.hasLabel(s.Needs) || !s.Reserved().Fits(w.free()) {
 			continue
 		}
-		reason = c.refusal(t, w)
-		if reason == heldSuspect || reason == heldHeadroom || reason == heldGang {
-			// The others are told apart by any one worker.
+		if reason = c.refusal(t, w); reason == heldSuspect || reason == heldHeadroom || reason == heldGang {
+			// This worker meets all other conditions.
 			return reason
 		}
 	}
