ports: the first process that package os starts holds no copy of a socket either

Cause: before its first process, package os checks once whether a process can have a pidfd, by one that it starts without ForkLock (os.checkPidfd). If a port is tried at that moment, that process holds a copy of the socket until it ends.

--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -8,7 +8,9 @@
 
 import (
 	"net"
+	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 )
@@ -40,10 +42,19 @@
 	}
 }
 
+// checkPidfd makes package os try once whether a new process can have a pidfd. It does so before
+// it starts its first process, by one that it starts without the lock.
+var checkPidfd = sync.OnceFunc(func() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+})
+
 // isFree reports whether no process listens on an address. A process that is being started
 // holds copies of this process's sockets until it executes its program, so none is started
 // while the address is tried.
 func isFree(addr string) bool {
+	checkPidfd()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", addr)
