sched, blame: less state and one filter in the new code

Read again as a whole: the reason with which a worker was logged as suspect was only used as a flag; heldReason filtered workers by service and label as eligible does; Trim was forget under another name; two spec loops of terms_test.go were the same, and are one function now, which the third spec uses too, with one more expectation. Two comment lines were too long.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -91,8 +91,8 @@
 )
 
 // Ask returns a question about those of the workers of which it isn't known whether they may
-// run a step, or won't be for long. It returns false if nothing is to be asked now. The caller asks for the most
-// urgent steps first.
+// run a step, or won't be for long. It returns false if nothing is to be asked now. The caller
+// asks for the most urgent steps first.
 func (b *Book) Ask(now time.Duration, name string, workers []string, p Pace) (Question, bool) {
 	if !b.MayAsk(now, name) {
 		return Question{}, false
--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -82,7 +82,7 @@
 
 // add adds a failure.
 func (r *Record) add(f failure) {
-	r.forget(f.at)
+	r.Trim(f.at)
 	if len(r.failures) == maxFailures {
 		r.failures = slices.Delete(r.failures, 0, 1)
 	}
@@ -92,8 +92,9 @@
 // Succeeded records that a task has succeeded on the worker.
 func (r *Record) Succeeded() { r.failures = nil }
 
-// forget drops failures that do not count any more.
-func (r *Record) forget(now time.Duration) {
+// Trim drops failures that do not count any more, so that the kinds of ended jobs are not kept
+// in memory.
+func (r *Record) Trim(now time.Duration) {
 	r.failures = slices.DeleteFunc(r.failures, func(f failure) bool { return now-f.at > memory })
 }
 
@@ -120,7 +121,3 @@
 	}
 	return unexplained >= suspectFailures || len(jobs) >= suspectJobs
 }
-
-// Trim drops what does not count any more, so that the kinds of ended jobs are not kept in
-// memory.
-func (r *Record) Trim(now time.Duration) { r.forget(now) }
--- a/internal/inbox/inbox.go
+++ b/internal/inbox/inbox.go
@@ -5,8 +5,9 @@
 // that a scheduling pass costs once for the batch. The queue is bounded while the core
 // is behind: an agent has at most one report in the queue, the newest; there is at most
 // one tick; and hints of new or cancelled jobs beyond a limit are dropped, since they are
-// in the store and are read from its feed, whose reader waits for room. Outcomes of orders, of commits and of
-// questions to the advisor are never dropped; there are at most as many as are in progress.
+// in the store and are read from its feed, whose reader waits for room. Outcomes of
+// orders, of commits and of questions to the advisor are never dropped; there are at most
+// as many as are in progress.
 //
 // In a batch, what frees capacity or prolongs leases comes before what asks for more.
 package inbox
--- a/internal/sched/held.go
+++ b/internal/sched/held.go
@@ -1,6 +1,9 @@
 package sched
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file finds tasks that are held back although a worker has the capacity for them, and
 // says what holds them back.
@@ -87,13 +90,13 @@
 // the capacity.
 func (c *Core) heldReason(t *task, schedulable []*worker) string {
 	s := t.step
-	reason, ofService := "", false
-	for _, w := range schedulable {
-		if w.Service != s.job.service {
-			continue
-		}
-		ofService = true
-		if !w.hasLabel(s.Needs) || !s.Reserved().Fits(w.free()) {
+	eligible := c.eligible(s, schedulable)
+	if len(eligible) == 0 && slices.ContainsFunc(schedulable, func(w *worker) bool { return w.Service == s.job.service }) {
+		return heldLabel
+	}
+	reason := ""
+	for _, w := range eligible {
+		if !s.Reserved().Fits(w.free()) {
 			continue
 		}
 		if reason = c.refusal(t, w); reason == heldSuspect || reason == heldHeadroom || reason == heldGang {
@@ -101,22 +104,9 @@
 			return reason
 		}
 	}
-	if reason == "" && ofService && !c.hasLabelled(s, schedulable) {
-		return heldLabel
-	}
 	return reason
 }
 
-// hasLabelled reports whether a worker has the label that a step needs.
-func (c *Core) hasLabelled(s *step, schedulable []*worker) bool {
-	for _, w := range schedulable {
-		if w.Service == s.job.service && w.hasLabel(s.Needs) {
-			return true
-		}
-	}
-	return false
-}
-
 // refusal returns why a worker with the capacity does not get a task.
 func (c *Core) refusal(t *task, w *worker) string {
 	s := t.step
--- a/internal/sched/terms_test.go
+++ b/internal/sched/terms_test.go
@@ -46,6 +46,16 @@
 		s.endRun(w, slices.Collect(maps.Keys(w.runs))[0], work.Failed)
 		s.advance(2 * tickInterval)
 	}
+	// expectFailedAfter expects the job to fail with the n-th failure from now and not before.
+	expectFailedAfter := func(s *testCell, n int) {
+		GinkgoHelper()
+		for range n - 1 {
+			failRun(s)
+			Expect(s.core.State("job")).To(Equal("running"))
+		}
+		failRun(s)
+		Expect(s.core.State("job")).To(Equal("failed"))
+	}
 
 	It("has the attempts that it was accepted with", func() {
 		for _, attempts := range []int{2, 4} {
@@ -54,12 +64,7 @@
 			s := newTestCell([]work.Queue{q, other}, 16)
 			submit(s, newJob("job", q, shortStep(1, false)))
 			configure(s, other)
-			for range attempts - 1 {
-				failRun(s)
-				Expect(s.core.State("job")).To(Equal("running"))
-			}
-			failRun(s)
-			Expect(s.core.State("job")).To(Equal("failed"))
+			expectFailedAfter(s, attempts)
 		}
 	})
 	It("has them at an owner that has never seen the queue", func() {
@@ -70,12 +75,7 @@
 		configure(s, other)
 		s.replaceOwner(j)
 		s.advance(time.Second)
-		for range 2 {
-			failRun(s)
-			Expect(s.core.State("job")).To(Equal("running"))
-		}
-		failRun(s)
-		Expect(s.core.State("job")).To(Equal("failed"))
+		expectFailedAfter(s, urgent.Attempts-1)
 	})
 	It("has them if the queue comes back with others", func() {
 		s := newTestCell([]work.Queue{urgent, other}, 16)
@@ -84,10 +84,7 @@
 		changed := urgent
 		changed.Attempts = 2
 		configure(s, changed, other)
-		for range urgent.Attempts - 1 {
-			failRun(s)
-			Expect(s.core.State("job")).To(Equal("running"))
-		}
+		expectFailedAfter(s, urgent.Attempts)
 	})
 	It("keeps its priority", func() {
 		s := newTestCell([]work.Queue{urgent, other}, 4)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -72,8 +72,8 @@
 // health detects a worker that is at fault for the failed or stalled runs on it.
 type health struct {
 	record blame.Record
-	// suspectReason is why the worker was logged as suspect, or empty.
-	suspectReason string
+	// loggedSuspect says that the worker was last logged as suspect.
+	loggedSuspect bool
 	// lastProbe is when a suspect worker was last given a run.
 	lastProbe time.Duration
 }
@@ -103,21 +103,22 @@
 func (c *Core) noteSuccess(p *placement) {
 	p.task.step.kind.Succeeded()
 	p.worker.record.Succeeded()
-	c.logSuspect(p.worker, "")
+	c.logSuspect(p.worker, "success")
 }
 
 // logSuspect logs whether a worker is suspect if that has changed.
 func (c *Core) logSuspect(w *worker, reason string) {
 	suspect := c.suspect(w)
-	if suspect == (w.suspectReason != "") {
+	if suspect == w.loggedSuspect {
 		return
 	}
-	d := Decision{Kind: "suspect", Worker: w.ID, Reason: reason}
-	if w.suspectReason = reason; !suspect {
-		w.suspectReason, d.Kind, d.Reason = "", "cleared", cmp.Or(reason, "success")
-		c.changes.addWorker(w)
+	w.loggedSuspect = suspect
+	if suspect {
+		c.emit(Decision{Kind: "suspect", Worker: w.ID, Reason: reason})
+		return
 	}
-	c.emit(d)
+	c.changes.addWorker(w)
+	c.emit(Decision{Kind: "cleared", Worker: w.ID, Reason: reason})
 }
 
 // ensureWorker returns the record of an incarnation and creates it if needed.
