sched: the advisor is asked only if its answer can be used, and waits for better workers end after 1.5 s

Cause: two waits add up. A task with one attempt left, or one that was moved, waits 2 s for a worker that isn't suspect or avoided. Its tickets, valid for 0.37 s, expire meanwhile, and are asked for again 0.8 s apart.

Change: a step is asked about only if some worker could take its next task, were there a ticket and capacity. The wait is 1.5 s, as for best-effort tasks that wait for headroom. A task that is held back names the suspect worker and not the advice that isn't asked for (`held`).

Tests: "asks when its answer can be used" fails before (a question after 0 s).

--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -49,6 +49,33 @@
 		s.advance(2 * time.Second)
 		Expect(s.adviceRequests).To(HaveLen(1), "no task waits")
 	})
+	// A question whose answer can't be used kept the advisor from answering others, and the
+	// next one, after the interval between two questions, came too late.
+	It("asks when its answer can be used", func() {
+		single := append([]work.Queue{{Name: "single", Service: "s", Attempts: 1, Stretch: 2, Target: 500, Advised: true}}, queues...)
+		s := newTestCell(single, 4)
+		for _, job := range []string{"poison0", "poison1"} {
+			s.submit(job, "single", shortStep(1, false))
+			s.advance(tickInterval)
+			answerAdvice(s, "w0")
+			s.advance(tickInterval)
+			for r := range s.workers[0].runs {
+				s.endRun(s.workers[0], r, work.Failed)
+			}
+			s.advance(tickInterval)
+		}
+		Expect(s.core.Census().Suspect).To(Equal(1))
+		asked, since := len(s.adviceRequests), s.now
+		s.submit("sound", "single", shortStep(1, false))
+		for len(s.adviceRequests) == asked && s.now < since+2*time.Second {
+			s.advance(tickInterval)
+		}
+		Expect(s.now-since).To(BeNumerically(">", time.Second), "its last attempt waits for a worker that is not suspect")
+		Expect(s.adviceRequests).To(HaveLen(asked + 1))
+		answerAdvice(s, "w0")
+		s.advance(tickInterval)
+		Expect(s.workers[0].runs).To(HaveLen(1))
+	})
 	It("asks again when the advice has expired, but not about rejected workers", func() {
 		s := newTestCell(queues, 1, 1)
 		s.submit("plan", "advised", work.Step{Count: 2, Size: latencyStep(1, 1).Size, Estimate: 500})
--- a/internal/sched/held.go
+++ b/internal/sched/held.go
@@ -110,13 +110,8 @@
 // refusal returns why a worker with the capacity does not get a task.
 func (c *Core) refusal(t *task, w *worker) string {
 	s := t.step
-	if s.job.inForce.Advised {
-		if _, ok := c.ticket(s, w); !ok {
-			if c.advice.Refused(s.name(), w.ID) {
-				return heldRefused
-			}
-			return heldAdvice
-		}
+	if s.job.inForce.Advised && c.advice.Refused(s.name(), w.ID) {
+		return heldRefused
 	}
 	if s.Apart > 0 && s.countOn(w) >= s.Apart {
 		return heldSpread
@@ -124,6 +119,11 @@
 	if reason := c.exclusion(t, w); reason != "" {
 		return reason
 	}
+	if s.job.inForce.Advised {
+		if _, ok := c.ticket(s, w); !ok {
+			return heldAdvice
+		}
+	}
 	switch {
 	case s.Fills:
 		return heldHeadroom
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -124,12 +124,20 @@
 		_, ok := c.ticket(s, w)
 		return !ok
 	})
-	if len(advised) == 0 && s.waiting > 0 {
+	if len(advised) == 0 && c.couldUseTicket(s, out) {
 		c.consult(s, out, false)
 	}
 	return advised
 }
 
+// couldUseTicket reports whether a ticket for one of the workers, as soon as that has the
+// capacity, lets a waiting task of the step start. If not, a question would only keep the
+// advisor from answering others, and its answer might expire unused.
+func (c *Core) couldUseTicket(s *step, workers []*worker) bool {
+	t := s.firstWaiting()
+	return t != nil && slices.ContainsFunc(workers, func(w *worker) bool { return c.allowed(t, w) })
+}
+
 // eligible lists the workers that may run a step by its queue and labels.
 func (c *Core) eligible(s *step, schedulable []*worker) []*worker {
 	suits := func(w *worker) bool { return w.Service == s.job.service && w.hasLabel(s.Needs) }
@@ -190,7 +198,7 @@
 	// exclusionPatience is how long a task that lasts, or a job of which nothing runs, waits
 	// for a worker that nothing speaks against while others have the capacity. Waits of up
 	// to 3 s are acceptable.
-	exclusionPatience = 2 * time.Second
+	exclusionPatience = 1500 * time.Millisecond
 	// preferredWeight ranks a worker with the preferred label above all others.
 	preferredWeight = 10
 	// failedWeight ranks suspect workers and those where the task has failed below
