stand/minion: a stand-in listens before it starts, and an address in use is an error

Cause: lagoondev listened on port 0 to find a free port, closed it, and let the HTTP library listen on it again in its own goroutine. The port lies in the range of outgoing connections, so one of the system's own connections could take it meanwhile; the library answers that with a panic.

Change: the stand-in opens its listener itself, as the other servers do (httpd.Listen), and returns an error. lagoondev takes the port from it, so that none is given up in between. The settings of lagoonstand get the same error for an address in use.

--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -164,14 +163,10 @@
 // addMinion adds the i-th minion of a service to the platform, on a free port,
 // and returns the settings of its agent.
 func (s *System) addMinion(v conf.Service, i int) (proc.Settings, error) {
-	lis, err := net.Listen("tcp", loopback)
+	addr, err := s.Platform.AddMinion(fmt.Sprintf("%s-%d", v.Name, i+1), loopback, s.Check.RequestStarted)
 	if err != nil {
 		return proc.Settings{}, err
 	}
-	addr := lis.Addr().String()
-	_ = lis.Close()
-	name := fmt.Sprintf("%s-%d", v.Name, i+1)
-	s.Platform.AddMinion(name, addr, s.Check.RequestStarted)
 	return proc.Settings{Minion: proc.Minion{Service: v.Name, Address: addr, Slots: v.Slots}}, nil
 }
 
--- a/internal/prog/prog.go
+++ b/internal/prog/prog.go
@@ -87,7 +87,9 @@
 		p.AddWorker(w.Name, vect.Size{Cores: int64(w.Cores * 1000), Memory: int64(w.Memory) >> 20, Accel: w.Accel})
 	}
 	for _, m := range s.Stand.Minions {
-		p.AddMinion(m.Name, m.Address, nil)
+		if _, err := p.AddMinion(m.Name, m.Address, nil); err != nil {
+			return nil, err
+		}
 	}
 	if err := p.Serve(s.Platform); err != nil {
 		return nil, err
--- a/internal/stand/minion/minion.go
+++ b/internal/stand/minion/minion.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/cloudwego/hertz/pkg/app/server"
 
 	"lagoonrack/internal/digest"
 	"lagoonrack/internal/httpd"
@@ -29,7 +28,7 @@
 )
 
 // Minion is a stand-in minion. Name and Addr, its listen address, must be set before
-// Start.
+// Start, which replaces port 0 in Addr by the port that it listens on.
 type Minion struct {
 	flaw.Switch
 
@@ -40,25 +39,25 @@
 
 	mu     sync.Mutex
 	starts map[string]int
-	server *server.Hertz
+	server *httpd.Server
 }
 
+// maxBodySize is the maximum size in bytes of the body of a request.
+const maxBodySize = 64 << 20
+
 // Start starts the HTTP server in the background.
-func (m *Minion) Start() {
-	httpd.SilenceLibraryLog()
+func (m *Minion) Start() error {
+	s, err := httpd.Listen(m.Addr, maxBodySize)
+	if err != nil {
+		return err
+	}
 	m.starts = map[string]int{}
-	m.server = server.New(
-		server.WithHostPorts(m.Addr),
-		server.WithMaxRequestBodySize(64<<20),
-		server.WithExitWaitTime(time.Second),
-		server.WithDisablePrintRoute(true),
-	)
-	m.server.NoRoute(m.serve)
-	go m.run()
+	m.server, m.Addr = s, s.Addr()
+	s.NoRoute(m.serve)
+	s.Start()
+	return nil
 }
 
-func (m *Minion) run() { _ = m.server.Run() }
-
 // Stop closes the HTTP server immediately.
 func (m *Minion) Stop() { _ = m.server.Close() }
 
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -134,16 +134,19 @@
 }
 
 // AddMinion adds a minion and starts its HTTP server. started is called with the ID of
-// each request that the minion starts.
-func (p *Platform) AddMinion(name, addr string, started func(id string)) {
+// each request that the minion starts. It returns the address that the minion listens on.
+func (p *Platform) AddMinion(name, addr string, started func(id string)) (string, error) {
 	m := &minion.Minion{Name: name, Addr: addr, Started: started}
-	m.Start()
+	if err := m.Start(); err != nil {
+		return "", err
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.minions == nil {
 		p.minions = map[string]*minion.Minion{}
 	}
 	p.minions[name] = m
+	return m.Addr, nil
 }
 
 // Minion returns a minion by name, or nil if there is none.
