traces: `lagoonctl why` says what held a job back

The cause now names the longest wait of each reason, with a sentence on what it means. TestTraceCause has a job that is held back for two reasons, and TestEachHeldReasonIsExplained keeps the sentences complete; both fail before.

--- a/internal/traces/traces.go
+++ b/internal/traces/traces.go
@@ -247,10 +247,31 @@
 // that a cause does not mention.
 const maxUnmentionedWait = 500
 
-// delays describes what delayed a job: the longest wait of a task for placement
-// and the runs that did not end in success.
+// heldTexts says what the reasons mean for which a task is held back although a worker has the
+// capacity for it.
+var heldTexts = map[string]string{
+	"label":    "no worker has the label that it needs",
+	"advice":   "the advisor had not allowed a worker yet",
+	"refused":  "the advisor refused the workers with the capacity",
+	"moving":   "it was to go to a worker that could not take it yet",
+	"avoided":  "it had been moved off the only worker that could take it",
+	"suspect":  "only workers on which runs had failed could take it",
+	"spread":   "the tasks of its step have to be apart",
+	"headroom": "latency-critical tasks would have suffered",
+	"gang":     "not all members of its gang fitted at a time",
+}
+
+// heldText describes the longest time for which a task was held back.
+func heldText(l *Line) string {
+	reason := l.Field("reason")
+	return fmt.Sprintf("task %s was held back for at least %s (%s: %s)", l.Field("task"), formatMillis(l.Millis()), reason, heldTexts[reason])
+}
+
+// delays describes what delayed a job: the longest wait of a task for placement, the longest
+// one for each reason beside workers with the capacity, and the runs that did not end in success.
 func delays(own []Line) string {
 	var longest *Line
+	held := map[string]*Line{}
 	ends := map[string][]string{}
 	for i, l := range own {
 		switch l.Field("kind") {
@@ -258,6 +279,10 @@
 			if longest == nil || l.Millis() > longest.Millis() {
 				longest = &own[i]
 			}
+		case "held":
+			if h := held[l.Field("reason")]; h == nil || l.Millis() > h.Millis() {
+				held[l.Field("reason")] = &own[i]
+			}
 		case "end", "vanish", "refused":
 			if r := l.Field("reason"); r != "done" {
 				what := l.Field("kind") + " " + r
@@ -269,6 +294,9 @@
 	if longest != nil && longest.Millis() > maxUnmentionedWait {
 		parts = append(parts, fmt.Sprintf("task %s waited %s for a place", longest.Field("task"), formatMillis(longest.Millis())))
 	}
+	for _, reason := range slices.Sorted(maps.Keys(held)) {
+		parts = append(parts, heldText(held[reason]))
+	}
 	for _, k := range slices.Sorted(maps.Keys(ends)) {
 		runs := count(len(ends[k]), "run")
 		slices.Sort(ends[k])
--- a/internal/traces/traces_test.go
+++ b/internal/traces/traces_test.go
@@ -6,11 +6,13 @@
 
 	. "github.com/onsi/gomega"
 
+	"lagoonrack/internal/sched"
 	"lagoonrack/internal/traces"
 )
 
-// Logs of three jobs: one rejected while the store was unavailable, one delayed
-// by a worker that restarted, and one that failed because a task failed twice.
+// Logs of four jobs: one rejected while the store was unavailable, one delayed
+// by a worker that restarted, one that failed because a task failed twice, and one held
+// back beside idle workers.
 const (
 	rejectedLog = `
   11.342 entry-2 {"event":111,"msg":"store away","process":"entry-2","error":"status 429"}
@@ -32,11 +34,16 @@
    1.500 entry-2 {"event":304,"kind":"end","msg":"task decision","process":"entry-2","task":"00000000000000c1.0.0.3","run":1,"worker":"i-1","reason":"failed","ms":400}
    2.100 entry-2 {"event":304,"kind":"end","msg":"task decision","process":"entry-2","task":"00000000000000c1.0.0.3","run":2,"worker":"i-2","reason":"failed","ms":500}
    2.101 entry-2 {"event":304,"kind":"fail","msg":"task decision","process":"entry-2","job":"00000000000000c1","ms":1101}`
+	heldLog = `
+   1.000 entry-1 {"event":206,"msg":"job accepted","process":"entry-1","job":"00000000000000d1","queue":"r1","ms":6}
+   2.100 entry-2 {"event":304,"kind":"held","msg":"task decision","process":"entry-2","task":"00000000000000d1.0.0.0","reason":"suspect","ms":1100}
+  12.100 entry-2 {"event":304,"kind":"held","msg":"task decision","process":"entry-2","task":"00000000000000d1.0.0.0","reason":"advice","ms":11100}
+  22.100 entry-2 {"event":304,"kind":"held","msg":"task decision","process":"entry-2","task":"00000000000000d1.0.0.0","reason":"advice","ms":21100}`
 )
 
 func traceOf(t *testing.T, job string) traces.Trace {
 	t.Helper()
-	all, err := traces.Read(strings.NewReader(rejectedLog + delayedLog + failedLog + "\nnot a line of ours\n"))
+	all, err := traces.Read(strings.NewReader(rejectedLog + delayedLog + failedLog + heldLog + "\nnot a line of ours\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,6 +59,9 @@
 		"0241e45b2391f2d2": `refused 2 times, last because of "store": it never ran`,
 		"00000000000000b1": "completed after 5.8s; task 00000000000000b1.0.0.0 waited 1.104s for a place; 1 run: vanish reborn, on i-1",
 		"00000000000000c1": "given up: task 00000000000000c1.0.0.3 failed 2 times, on i-1, i-2",
+		"00000000000000d1": "not ended in these logs; " +
+			"task 00000000000000d1.0.0.0 was held back for at least 21.1s (advice: the advisor had not allowed a worker yet); " +
+			"task 00000000000000d1.0.0.0 was held back for at least 1.1s (suspect: only workers on which runs had failed could take it)",
 	} {
 		t.Run(job, func(t *testing.T) {
 			NewWithT(t).Expect(traceOf(t, job).Cause).To(Equal(want))
@@ -59,6 +69,20 @@
 	}
 }
 
+// TestEachHeldReasonIsExplained guards against a reason that an owner logs and `lagoonctl why`
+// does not explain.
+func TestEachHeldReasonIsExplained(t *testing.T) {
+	for _, reason := range sched.HeldReasons() {
+		log := `1.000 entry-1 {"event":304,"kind":"held","msg":"task decision","process":"e","task":"d.0.0.0","reason":"` + reason + `","ms":1100}`
+		all, err := traces.Read(strings.NewReader(log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr, _ := traces.Of(all, "d")
+		NewWithT(t).Expect(tr.Cause).To(MatchRegexp(`held back for at least 1\.1s \(` + reason + `: [a-z -]+\)`))
+	}
+}
+
 func TestTraceContextLimitedToJobPeriodAndWorkers(t *testing.T) {
 	g := NewWithT(t)
 	tr := traceOf(t, "00000000000000b1")
