pace: a new agent process releases the runs that the one before has throttled

What happens: an agent is restarted while best-effort runs of its worker are throttled. The new process takes each run in the worker's list for one at full speed that was ordered so, and orders nothing; with nothing to protect any more, the runs stay at the old level, or halted, until they end or are moved.

Change: the agent knows of runs that it starts what they are, before they are listed; of others the owner tells it after the first list. A run that is listed and not described gets a level that is not known to be ordered, so that the next step orders one, full speed unless the latency-critical runs forbid it.

TestNewProcessReleasesThrottledRuns fails before (no order, for either variant).

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -40,7 +40,7 @@
 // level is the throttle level of a best-effort run.
 type level struct {
 	// speed is the percentage of its full speed at which the run may work, and
-	// ordered the percentage that was last ordered, or -1 if that is not known.
+	// ordered the percentage that was last ordered, or unknown.
 	speed, ordered int
 	// share is the share of the worker's processors that the run uses at full
 	// speed.
@@ -50,6 +50,9 @@
 const (
 	// full is the speed of a run that is not throttled, in percent.
 	full = 100
+	// unknown is the level of a run to which an order may be on its way, or that an earlier
+	// process of the agent may have throttled.
+	unknown = -1
 	// effectDelay is how long a change takes to show in the measurements: half a
 	// second of measurement and the time until the change is in force.
 	effectDelay = 650 * time.Millisecond
@@ -100,7 +103,7 @@
 // out, so that it is repeated.
 func (g *Throttler) OrderLost(r work.Run) {
 	if l := g.levels[r]; l != nil {
-		l.ordered = -1
+		l.ordered = unknown
 	}
 }
 
@@ -170,8 +173,11 @@
 	highSince, overSince := map[work.Run]time.Duration{}, map[work.Run]time.Duration{}
 	tailRatio := map[work.Run]float64{}
 	for _, r := range running {
-		a := about[r.Run]
+		a, described := about[r.Run]
 		switch {
+		case !described:
+			// This process did not start the run. The owner's description will follow.
+			levels[r.Run] = &level{speed: full, ordered: unknown}
 		case a.Fills:
 			l := g.levels[r.Run]
 			if l == nil {
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -120,6 +120,29 @@
 	g.Expect(found).To(BeTrue())
 }
 
+// TestNewProcessReleasesThrottledRuns guards against best-effort runs that stay throttled for
+// good, since the agent's next process takes them for runs that were never throttled.
+func TestNewProcessReleasesThrottledRuns(t *testing.T) {
+	for name, withCritical := range map[string]bool{"beside a latency-critical run": true, "alone": false} {
+		t.Run(name, func(t *testing.T) {
+			list := []work.Running{{Run: heavy, Figure: 1400}, {Run: light, Figure: 1400}}
+			if withCritical {
+				list = append(list, work.Running{Run: serve, Percent: 100, Figure: 12})
+			}
+			var next pace.Throttler
+			next.SetModel(cores, factors, map[string]float64{"serve": base})
+			g := NewWithT(t)
+			g.Expect(next.Step(0, list, nil)).To(BeEmpty(), "nothing is known of the runs")
+			ordered := map[work.Run]int{}
+			for _, p := range next.Step(300*time.Millisecond, list, about) {
+				ordered[p.Run] = p.Percent
+			}
+			g.Expect(ordered).To(Equal(map[work.Run]int{heavy: 100, light: 100}))
+			g.Expect(next.Step(600*time.Millisecond, list, about)).To(BeEmpty(), "ordered once")
+		})
+	}
+}
+
 // TestThrottlesWhenTailIsMeasuredTooLow guards against trust in measurements that
 // are too low. In a simulation, tails were measured as 77 to 104 ms while the real
 // tail was over its target of 125 ms for four seconds.
