front: a job with the ID of a job of another queue is rejected, not answered as accepted

Cause: an existing row that isn't a rejection is taken for the submitted job itself, whatever it holds, since submissions are repeated after lost answers.

Change: if the row's job belongs to another queue in force and differs from the submitted one, the answer is 409 with the reason `taken` (event 207, lagoon_job_refusals_total). Task names are made of the job's ID alone, so both can't be kept. A job that is the same but for its queue stays accepted: its queue may have been renamed between two tries. So does any job on its own queue, and one whose queue isn't in force any more.

Not changed: GET and DELETE go by the ID alone, so they reach the other queue's job.

--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,7 +69,7 @@
 		return f.storeRejection(ctx, j, "busy", busyRetryAfter(lag))
 	}
 	began := f.Clock.Now()
-	out := f.writeAll(ctx, writes, isRejected)
+	out := f.writeJob(ctx, j, writes)
 	took := f.Clock.Now() - began
 	switch out.Status {
 	case Stored, Written:
@@ -148,7 +150,7 @@
 	if err != nil {
 		return f.reject(j, "invalid", 0, err)
 	}
-	switch out := f.write(ctx, sched.JobKey(j.ID), data, isRejected); out.Status {
+	switch out := f.writeJob(ctx, j, []plat.Write{{Key: sched.JobKey(j.ID), Value: data}}); out.Status {
 	case Written:
 		return f.reject(j, reason, after, nil)
 	case Rejected:
@@ -158,6 +160,43 @@
 	}
 }
 
+// writeJob writes the rows of a job, or of its rejection. The job is rejected if another one has
+// its ID.
+func (f *Front) writeJob(ctx context.Context, j work.Job, writes []plat.Write) Outcome {
+	var existing plat.Row
+	out := f.writeAll(ctx, writes, func(r plat.Row) bool {
+		existing = r
+		return isRejected(r)
+	})
+	if out.Status == Stored && f.isTaken(j, existing) {
+		return Outcome{Status: Rejected, Reason: "taken"}
+	}
+	return out
+}
+
+// isTaken reports whether a row holds another job with the same ID, which belongs to another
+// queue in force. The tasks of both would have the same names. A job that is the same but for
+// its queue is taken for the one that is submitted: its queue may have got another name since.
+func (f *Front) isTaken(j work.Job, row plat.Row) bool {
+	var x work.Job
+	if work.Decode(row.Value, &x) != nil || x.Queue == j.Queue || !f.hasQueue(x.Queue) {
+		return false
+	}
+	x.Queue, x.Service, x.Terms, x.At = j.Queue, j.Service, j.Terms, j.At
+	_, own, err := sched.EncodeJob(j, f.Limits)
+	if err != nil {
+		return false
+	}
+	data, err := work.Encode(x)
+	return err == nil && !bytes.Equal(data, own[0].Value)
+}
+
+// hasQueue reports whether the configuration in force has a queue.
+func (f *Front) hasQueue(name string) bool {
+	c := f.Config()
+	return c != nil && slices.ContainsFunc(c.Queues, func(q work.Queue) bool { return q.Name == name })
+}
+
 // isRejected reports whether a row says that its job was rejected.
 func isRejected(row plat.Row) bool {
 	var j work.Job
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -33,7 +33,7 @@
 	MinionUnresponsive   = Event{204, "minion unresponsive", "A minion has stopped announcing itself and was removed from routing."}
 	Answered             = Event{205, "request answered", "An entry answered a request with an error, because no minion returned a whole response. Logged at debug level."}
 	Accepted             = Event{206, "job accepted", "An entry stored a job that a caller submitted."}
-	Rejected             = Event{207, "job refused", "An entry rejected a job; it never runs unless it is submitted again."}
+	Rejected             = Event{207, "job refused", "An entry rejected a job; it never runs unless it is submitted again. The reason is invalid, store, full, busy, or taken: another queue has a job with its ID."}
 	OutcomeUnknown       = Event{208, "outcome unknown", "An entry could not find out in time whether a caller's change was stored."}
 	JobCancelled         = Event{209, "job cancelled", "An entry stored the cancellation of a job."}
 	Owned                = Event{301, "cell taken over", "This process owns the cell from now on."}
