--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -197,7 +197,7 @@
 const (
 	// exclusionPatience is how long a task that lasts, or a job of which nothing runs, waits
 	// for a worker that nothing speaks against while others have the capacity. Waits of up
-	// to 3 s are acceptable.
+	// to 3 s are acceptable, and an advisor may have to be asked after this one.
 	exclusionPatience = 1500 * time.Millisecond
 	// preferredWeight ranks a worker with the preferred label above all others.
 	preferredWeight = 10
