--- a/internal/sched/held.go
+++ b/internal/sched/held.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		if reason = c.refusal(t, w); reason == heldSuspect || reason == heldHeadroom || reason == heldGang {
-			// This worker meets all other conditions.
+			// But for a ticket, this worker meets all other conditions.
 			return reason
 		}
 	}
