--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,7 @@
 		Version: build.Version(),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "read the process's settings from `FILE`"},
+			&cli.StringSliceFlag{Name: "set", Usage: "override a setting, as `KEY=VALUE`; an empty value changes nothing"},
 			&cli.StringFlag{Name: "pid", Usage: "write the process ID to `FILE`"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
@@ -72,7 +73,7 @@
 	if c.String("settings") == "" {
 		return usageError{errors.New("--settings is needed; see --help")}
 	}
-	s, err := proc.Read(c.String("settings"), d.Role)
+	s, err := proc.Read(c.String("settings"), d.Role, c.StringSlice("set")...)
 	if err != nil {
 		return usageError{err}
 	}
@@ -108,7 +109,7 @@
 		log.Error(logs.Failed, err, nil)
 		return err
 	}
-	d.waitForStop(ctx, hup, c.String("settings"), s, log)
+	d.waitForStop(ctx, hup, c, s, log)
 	stop()
 	return nil
 }
@@ -116,13 +117,13 @@
 // waitForStop returns when the context ends. On SIGHUP it reads and validates the
 // settings file again and logs the result; changed settings take effect at the next
 // start.
-func (d Daemon) waitForStop(ctx context.Context, hup <-chan os.Signal, file string, s proc.Settings, log logs.Log) {
+func (d Daemon) waitForStop(ctx context.Context, hup <-chan os.Signal, c *cli.Command, s proc.Settings, log logs.Log) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
-			next, err := proc.Read(file, d.Role)
+			next, err := proc.Read(c.String("settings"), d.Role, c.StringSlice("set")...)
 			if err != nil {
 				log.Error(logs.SettingsFileRejected, err, nil)
 				continue
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -102,8 +102,9 @@
 	Platform
 )
 
-// Read reads and checks a settings file.
-func Read(file string, role Role) (Settings, error) {
+// Read reads and checks a settings file. Each override has the form KEY=VALUE and replaces the
+// file's value of the key, unless its own value is empty.
+func Read(file string, role Role, overrides ...string) (Settings, error) {
 	var s Settings
 	data, err := os.ReadFile(file)
 	if err != nil {
@@ -113,6 +114,13 @@
 	if err != nil {
 		return s, err
 	}
+	for _, o := range overrides {
+		overlay, err := tree.Assignment("--set", o)
+		if err != nil {
+			return s, err
+		}
+		t = t.Merge(overlay)
+	}
 	if err := t.Decode(&s); err != nil {
 		return s, err
 	}
--- a/internal/tree/tree.go
+++ b/internal/tree/tree.go
@@ -62,6 +62,21 @@
 	return Parse(file, data)
 }
 
+// Assignment returns the tree of one value in the form KEY=VALUE. Dots in the key separate the
+// keys of nested mappings. The origin is used only in positions. An empty value gives an empty
+// tree, so that merging it changes nothing.
+func Assignment(origin, text string) (*Tree, error) {
+	key, value, ok := strings.Cut(text, "=")
+	if !ok || key == "" {
+		return nil, fmt.Errorf("%s: %q is not of the form KEY=VALUE", origin, text)
+	}
+	if value == "" {
+		return Parse(origin, nil)
+	}
+	keys := strings.Split(key, ".")
+	return Parse(origin, []byte("{"+strings.Join(keys, ": {")+": "+value+strings.Repeat("}", len(keys))))
+}
+
 // recordFile records the file of a node and all nodes below it.
 func (t *Tree) recordFile(n *yaml.Node, file string) {
 	t.files[n] = file
