runner: a time limit for the starts of an order

An agent carries out starts of an order for up to OwnerTimeout after the report that the order answers, and a start may wait for a slot as long. Order.StartBy, by the clock of the agent's process, ends that earlier: the start of a task in a zone that was evacuated meanwhile must not reach the worker. 0 means no limit, as before. Pong gets the fields for evacuated zones.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -125,14 +125,14 @@
 	if earlier := r.starts[s.Run]; earlier != nil {
 		return earlier
 	}
-	start := &startOrder{done: make(chan struct{}), code: work.Unknown}
+	start := &startOrder{done: make(chan struct{}), code: work.Unknown, by: o.StartBy}
 	now := r.Clock.Now()
 	_, stopped := r.stoppedAt[s.Run]
 	switch until := r.lease.renewUntil(now); {
 	case r.worker.Leaving || r.lease.leaving:
 		start.code = work.Leaving
 		close(start.done)
-	case stopped || until == 0 || !r.lease.orderRecent(now, o.Word, r.Clock.StartUnixMilli()):
+	case stopped || until == 0 || start.expired(now) || !r.lease.orderRecent(now, o.Word, r.Clock.StartUnixMilli()):
 		start.code = work.Late
 		close(start.done)
 	default:
@@ -158,7 +158,7 @@
 	slots <- struct{}{}
 	release := sync.OnceFunc(func() { <-slots })
 	timer := time.AfterFunc(r.slotTimeout, release)
-	code, unanswered := r.tryStart(s)
+	code, unanswered := r.tryStart(start, s)
 	timer.Stop()
 	release()
 	if unanswered && code != work.Started {
@@ -181,9 +181,9 @@
 
 // tryStart orders a start up to startTries times. Unanswered says that the outcome of
 // at least one try is unknown.
-func (r *Runner) tryStart(s plat.StartRun) (code work.Code, unanswered bool) {
+func (r *Runner) tryStart(start *startOrder, s plat.StartRun) (code work.Code, unanswered bool) {
 	for range startTries {
-		if !r.startAllowed(s) {
+		if start.expired(r.Clock.Now()) || !r.startAllowed(s) {
 			return work.Late, unanswered
 		}
 		ctx, cancel := context.WithTimeout(r.ctx, startTimeout)
--- a/internal/runner/orders_test.go
+++ b/internal/runner/orders_test.go
@@ -197,3 +197,50 @@
 		Expect(startCodes(r.handleOrder(later))).To(Equal([]string{otherJob + " " + string(work.Started)}))
 	})
 })
+
+// A start that an agent still holds when its zone is evacuated must not reach the worker after
+// the time that the owner has set, whether the order came late or waits for a slot.
+var _ = Describe("A start with a time limit", func() {
+	var m *blockingWorker
+	var r *Runner
+	run := runOf(otherJob, 0)
+	limited := func(limit time.Duration) work.Order {
+		o := newOrder(r, []work.Run{run}, nil)
+		o.StartBy = r.Clock.Now() + limit
+		return o
+	}
+	BeforeEach(func() {
+		m = &blockingWorker{release: make(chan struct{})}
+		r = newRunner(m)
+	})
+	It("is sent within it", func() {
+		Expect(startCodes(r.handleOrder(limited(time.Hour)))).To(Equal([]string{otherJob + " " + string(work.Started)}))
+	})
+	It("is not sent if the order comes later", func() {
+		o := limited(0)
+		time.Sleep(time.Millisecond)
+		Expect(startCodes(r.handleOrder(o))).To(Equal([]string{otherJob + " " + string(work.Late)}))
+		Expect(m.startCalled(run)).To(BeFalse())
+	})
+	It("is not sent if it gets a slot later", func() {
+		r.slotTimeout = time.Hour
+		blocked := make([]work.Run, maxConcurrentStarts)
+		for i := range blocked {
+			blocked[i] = runOf(blockedJob, i)
+		}
+		go r.handleOrder(newOrder(r, blocked, nil))
+		for _, x := range blocked {
+			Eventually(func() bool { return m.startCalled(x) }, pollTimeout).Should(BeTrue())
+		}
+		limit := 100 * time.Millisecond
+		done := make(chan work.Results, 1)
+		go func() { done <- r.handleOrder(limited(limit)) }()
+		Eventually(func() bool { return r.hasStart(run) }, pollTimeout).Should(BeTrue())
+		time.Sleep(2 * limit)
+		close(m.release)
+		var res work.Results
+		Eventually(done, pollTimeout).Should(Receive(&res))
+		Expect(startCodes(res)).To(Equal([]string{otherJob + " " + string(work.Late)}))
+		Expect(m.startCalled(run)).To(BeFalse())
+	})
+})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -120,8 +120,13 @@
 type startOrder struct {
 	done chan struct{}
 	code work.Code
+	// by is the time after which the start is not sent to the worker, or 0 for none.
+	by time.Duration
 }
 
+// expired reports whether the start must not be sent to the worker any more.
+func (s *startOrder) expired(now time.Duration) bool { return s.by > 0 && now > s.by }
+
 // Start opens the address and starts the loops.
 func (r *Runner) Start() error {
 	r.pool.DropOnTimeout = true
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -133,6 +133,9 @@
 	// Noted and Now are as in Reply.
 	Noted int64  `cbor:"7,keyasint,omitempty"`
 	Now   Moment `cbor:"9,keyasint,omitempty"`
+	// StartBy is the time, by the clock of the agent's process that Word names, after which
+	// none of Starts may be sent to the worker. 0 means no limit.
+	StartBy time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Code is the outcome of an order to start, stop or throttle a run.
@@ -232,6 +235,11 @@
 	// Pending is, for each queue, the number of jobs of which no task was started.
 	// Only the owner knows it.
 	Pending map[string]int
+	// Evacuated lists the evacuated zones as of the store's version ZonesVersion, which was
+	// the newest ZonesAge ago or later. ZonesAge is 0 if the entry does not know.
+	Evacuated    []string
+	ZonesVersion uint64
+	ZonesAge     int64
 	// Loading says that the entry has claimed the cell and does not know its jobs yet:
 	// Pending is not a count.
 	Loading bool
