plat, proc, logs: scan of rows, setting and events for evacuations

Rows.Scan reads the rows whose keys begin with a prefix: the evacuation rows are in the table of the operator's configuration, which may have half a megabyte. fleet.evacuation turns evacuations on; events 413 and 414 say that a zone was evacuated or taken back.

--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -56,6 +56,8 @@
 	StartRefused         = Event{410, "start refused", "A worker did not start a run; the code says why."}
 	OtherIncarnation     = Event{411, "another incarnation answers", "An incarnation of the worker that has not announced itself answers under its ID; runs counts what it has at work."}
 	WorkerFarewell       = Event{412, "worker says farewell", "A worker deregistered. Its lease is not renewed any more; its runs count as at work until it is known to have ended, or its lease has expired. The fields say whether it still answered, and how many runs its newest list showed."}
+	ZoneEvacuated        = Event{413, "zone evacuated", "The operator has evacuated a zone; nothing is started on its workers any more. The version is that of the store."}
+	ZoneRestored         = Event{414, "zone taken back", "A zone is not evacuated any more; its workers get work again."}
 	Applied              = Event{501, "settings in force", "The process runs a new version of the settings."}
 	SettingsRejected     = Event{502, "settings refused", "A version of the settings could not be read; the earlier one stays in force."}
 )
@@ -68,7 +70,7 @@
 		Accepted, Rejected, OutcomeUnknown, JobCancelled,
 		Owned, CellLost, Released, Decided, Snapshot, OwnerBehind, OwnerCaughtUp, AdviceFailed,
 		Quarantine, Restored, WorkerUnresponsive, Fenced,
-		WorkerNew, WorkerDraining, WorkerEnded, OwnerChanged, RunThrottled, StartRefused, OtherIncarnation, WorkerFarewell,
+		WorkerNew, WorkerDraining, WorkerEnded, OwnerChanged, RunThrottled, StartRefused, OtherIncarnation, WorkerFarewell, ZoneEvacuated, ZoneRestored,
 		Applied, SettingsRejected,
 	}
 }
--- a/internal/plat/rows.go
+++ b/internal/plat/rows.go
@@ -50,6 +50,10 @@
 	// List returns the rows of a table from all its parts. It includes every
 	// change up to the stamp's version, and possibly some later ones.
 	List func(ctx context.Context, table string) ([]Row, Stamp, error)
+	// Scan returns the rows whose keys start with a prefix, which names a table, a part and
+	// the beginning of the names. They include every change up to the stamp's version, and
+	// possibly some later ones.
+	Scan func(ctx context.Context, prefix string) ([]Row, Stamp, error)
 	// Feed returns the rows of a table that changed after a version, oldest
 	// change first. If there are none, it waits up to the given time for one. A
 	// deleted row has no value.
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -70,6 +70,8 @@
 	Lease    unit.Duration `yaml:"lease" doc:"How long a worker goes on without a renewal by its agent."`
 	Trust    unit.Duration `yaml:"trust" doc:"How long an agent renews without a word from the owner."`
 	Keep     unit.Duration `yaml:"keep" doc:"How long an ended job can be asked for."`
+
+	Evacuation unit.Duration `yaml:"evacuation" doc:"Time after the operator evacuated a zone from which on an entry starts nothing there, whatever fails; below 3 s it holds only while the store answers. Unset, evacuations are not read."`
 }
 
 // Stand lists the minions and workers that a stand-in platform simulates.
@@ -205,9 +207,11 @@
 	case Entry:
 		c.address("caller", s.Caller)
 		c.address("fleet.check", s.Fleet.Check)
+		c.Want(s.Fleet.Evacuation >= 0, "fleet.evacuation", "a duration above 0 is needed")
 	case Agent:
 		c.address("worker.address", s.Worker.Address)
 		c.address("fleet.announce", s.Fleet.Announce)
+		c.unused("fleet.evacuation", s.Fleet.Evacuation != 0)
 	case Platform:
 		c.Want(false, "fleet.on", "a stand-in platform does not run on the real platform")
 	}
