sched: no starts in evacuated zones

An owner with Limits.Evacuation starts nothing on workers of an evacuated zone, and nothing at all while what it knows of the zones is older than the bound leaves time for an order. Starts that were decided and not ordered are withdrawn; an order is not repeated, and its run is stopped once a list that is younger than the order's end lacks it. Runs go on; one is moved only if another worker can take it. Admission does not count the workers; the held reason zone names their tasks. Cold workers come after warm ones. Without the limit nothing changes.

--- a/internal/evac/evac.go
+++ b/internal/evac/evac.go
@@ -17,6 +17,25 @@
 	"lagoonrack/internal/plat"
 )
 
+const (
+	// OrderLifetime is how long after an order its starts may be sent to the worker. An owner
+	// waits as long for an order's results.
+	OrderLifetime = 1300 * time.Millisecond
+	// StartMargin is the time that a start takes from the agent to the worker: one try, which
+	// the agent gives up after 130 ms, on a busy machine.
+	StartMargin = 300 * time.Millisecond
+	// leastMaxAge is the least useful result of MaxAge: a call of the feed confirms a set only
+	// each second.
+	leastMaxAge = 1400 * time.Millisecond
+)
+
+// MaxAge returns how old the set may be by which a start is ordered, if none may begin later
+// than a bound after the row of its zone was acknowledged. A bound below 3 s holds only while
+// the store answers.
+func MaxAge(bound time.Duration) time.Duration {
+	return max(leastMaxAge, bound-OrderLifetime-StartMargin)
+}
+
 // Zones is the set of evacuated zones as of a version of the store. It is immutable. The zero
 // value knows nothing: it holds at no time.
 type Zones struct {
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -48,7 +48,9 @@
 	for _, w := range c.workers {
 		if w.reported && !w.gone && !w.Leaving && c.workerByAgent[w.agent] == w {
 			l := loads[w.Service]
-			l.Capacity += w.Size.Cores
+			if !c.zones.Closed(w.Zone) {
+				l.Capacity += w.Size.Cores
+			}
 			loads[w.Service] = l
 		}
 	}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"lagoonrack/internal/advice"
+	"lagoonrack/internal/evac"
 	"lagoonrack/internal/intake"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
@@ -120,6 +121,8 @@
 	// confirmed the ownership of the cell.
 	termStart, confirmedAt time.Duration
 	advice                 advice.Book
+	// zones holds the evacuated zones as far as this owner knows.
+	zones evac.Zones
 	// held counts tasks that are held back by reason, as of heldAt.
 	held   map[string]int
 	heldAt time.Duration
@@ -245,6 +248,8 @@
 		c.advice.Fail(c.now, e.Question)
 	case Confirmed:
 		c.confirmedAt = max(c.confirmedAt, e.Sent)
+	case Evacuated:
+		c.setZones(e.Zones)
 	case Tick:
 		c.tick()
 	}
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lagoonrack/internal/evac"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/work"
 )
@@ -59,6 +60,9 @@
 // answer to a call that was sent at a time.
 type Confirmed struct{ Sent time.Duration }
 
+// Evacuated reports which zones are evacuated.
+type Evacuated struct{ Zones evac.Zones }
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -72,6 +76,7 @@
 func (Configure) event()      {}
 func (Committed) event()      {}
 func (Confirmed) event()      {}
+func (Evacuated) event()      {}
 func (Tick) event()           {}
 
 // Effect is an action that the caller of Step has to carry out.
--- a/internal/sched/held.go
+++ b/internal/sched/held.go
@@ -32,11 +32,12 @@
 	heldSpread   = "spread"   // the step's tasks have to be apart
 	heldHeadroom = "headroom" // latency-critical tasks would suffer
 	heldGang     = "gang"     // not all members of the gang fit at a time
+	heldZone     = "zone"     // only workers of evacuated zones have the capacity
 )
 
 // HeldReasons lists the reasons for which a task may be held back.
 func HeldReasons() []string {
-	return []string{heldLabel, heldAdvice, heldRefused, heldMoving, heldAvoided, heldSuspect, heldSpread, heldHeadroom, heldGang}
+	return []string{heldLabel, heldAdvice, heldRefused, heldMoving, heldAvoided, heldSuspect, heldSpread, heldHeadroom, heldGang, heldZone}
 }
 
 // noteHeld counts the tasks that are held back by reason, and logs some of them. It must follow
@@ -44,7 +45,7 @@
 func (c *Core) noteHeld() {
 	c.held = map[string]int{}
 	schedulable := c.schedulableWorkers()
-	bounds := c.boundsOf(schedulable)
+	bounds := c.boundsOf(append(slices.Clone(schedulable), c.evacuatedWorkers()...))
 	looked, logged := 0, 0
 	for i := range c.ranking.entries {
 		e := &c.ranking.entries[i]
@@ -91,6 +92,9 @@
 func (c *Core) heldReason(t *task, schedulable []*worker) string {
 	s := t.step
 	eligible := c.eligible(s, schedulable)
+	if c.onlyEvacuatedFit(s, eligible) {
+		return heldZone
+	}
 	if len(eligible) == 0 && slices.ContainsFunc(schedulable, func(w *worker) bool { return w.Service == s.job.service }) {
 		return heldLabel
 	}
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -16,6 +16,9 @@
 	SlowLink bool
 	// EndedJobRetention is how long the state of an ended job can be queried.
 	EndedJobRetention time.Duration
+	// Evacuation is the time after the row of an evacuated zone was acknowledged from which on
+	// nothing starts there, or 0 if evacuation rows are not read.
+	Evacuation time.Duration
 	// RowBytes bounds the value of a row, and TasksPerRow the tasks whose progress is in
 	// one row.
 	RowBytes, TasksPerRow int
--- a/internal/sched/orders.go
+++ b/internal/sched/orders.go
@@ -25,9 +25,9 @@
 }
 
 // orderStart adds the start of a placement to the worker's order unless the worker
-// has ended or the job is finished.
+// has ended, its zone may be evacuated or the job is finished.
 func (c *Core) orderStart(p *placement) {
-	if p.worker.gone || p.task.step.job.finished() {
+	if p.worker.gone || p.task.step.job.finished() || !c.zoneOpen(p.worker) {
 		return
 	}
 	o := c.orderFor(p.worker)
@@ -38,6 +38,7 @@
 		o.Specs = map[string]string{}
 	}
 	o.Specs[s.job.ID] = s.job.Spec
+	o.StartBy = c.startBy(p.worker)
 	o.Starts = append(o.Starts, work.Start{About: p.about(), Saved: p.checkpoint, Ticket: p.ticket})
 }
 
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -377,6 +377,9 @@
 		} else {
 			c.orderStart(p)
 		}
+	case c.neverStarted(p, proven):
+		// The stop guarantees that the run never starts.
+		c.stop(p, "evacuated")
 	case p.confirmed && p.stored && p.stopReason == "" && proven > p.confirmedAt:
 		if p.missedLists++; p.missedLists >= maxMissedLists {
 			// The stop guarantees that the run never starts.
--- a/internal/sched/shortlist.go
+++ b/internal/sched/shortlist.go
@@ -63,6 +63,7 @@
 	if s.Near != "" && w.hasLabel(s.Near) {
 		o.base += preferredWeight
 	}
+	o.base -= c.coldPenalty(s, w)
 	o.spread = spreadWeight * float64(s.countOn(w))
 	o.scored = true
 }
@@ -105,7 +106,7 @@
 // exclusion returns why a task may not go to a worker apart from its capacity, or "".
 func (c *Core) exclusion(t *task, w *worker) string {
 	switch {
-	case t.moveTarget != nil && c.now < t.moveTargetUntil && w != t.moveTarget:
+	case t.moveTarget != nil && c.now < t.moveTargetUntil && w != t.moveTarget && c.zoneOpen(t.moveTarget):
 		return heldMoving
 	case t.avoidWorker == w.ID && c.now-t.avoidSince < avoidDuration && c.waitTime(t) < exclusionPatience:
 		return heldAvoided
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -49,6 +49,11 @@
 	// resultsLost says that the owner gets no results of its orders, and startsRepeated
 	// that each worker gets each start twice and only its second answer arrives.
 	resultsLost, startsRepeated bool
+	// orders lists the orders, and orderedAt when they were sent. They do not arrive while
+	// ordersLost is set.
+	orders     []sched.Send
+	orderedAt  []time.Duration
+	ordersLost bool
 	// storeDown says that commits are not answered; they wait in waitingCommits.
 	storeDown      bool
 	waitingCommits []sched.Commit
@@ -248,6 +253,10 @@
 
 // applyOrder lets the worker carry out an order and returns the results to the owner.
 func (s *testCell) applyOrder(f sched.Send) {
+	s.orders, s.orderedAt = append(s.orders, f), append(s.orderedAt, s.now)
+	if s.ordersLost {
+		return
+	}
 	w := s.workerByAgent(f.Agent)
 	results := work.Results{Life: f.Order.Life, Term: 1}
 	for _, x := range f.Order.Starts {
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -40,7 +40,7 @@
 		p.percentSince = c.now
 		return
 	}
-	if c.now-p.percentSince < c.stallTimeoutOf(p.task) || p.percent >= fullPercent {
+	if c.now-p.percentSince < c.stallTimeoutOf(p.task) || p.percent >= fullPercent || !c.mayLeave(p) {
 		return
 	}
 	c.handleStall(p)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -240,7 +240,10 @@
 func (w *worker) free() vect.Size { return w.Size.Sub(w.reserved) }
 
 // schedulable reports whether the worker may get new runs.
-func (c *Core) schedulable(w *worker) bool {
+func (c *Core) schedulable(w *worker) bool { return c.usable(w) && c.zoneOpen(w) }
+
+// usable reports whether the worker may get new runs unless its zone is evacuated.
+func (c *Core) usable(w *worker) bool {
 	return w.reported && !w.gone && !w.unresponsive && !w.Leaving && c.now-w.lastReport < reportTimeout &&
 		c.now >= w.blockedUntil && c.workerByAgent[w.agent] == w
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -245,6 +245,9 @@
 	// is the minimum time until it stops, in milliseconds.
 	Leaving   bool  `cbor:"8,keyasint,omitempty"`
 	Remaining int64 `cbor:"9,keyasint,omitempty"`
+	// Cold is how much longer the worker is slow after a start or an evacuation, in
+	// milliseconds.
+	Cold int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // maxNameBytes bounds the names and labels of a worker.
