front, leader: follow the rows of evacuated zones

An entry with fleet.evacuation reads the rows with the operator's configuration, follows them in the same feed, exchanges them with each ping, and reads them anew when nothing has confirmed them for long. A new owner reads them before it loads the state of the cell. The core gets the newest set before each batch of events. The gauge lagoon_zones_evacuated counts them.

--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -22,6 +22,7 @@
 	out.Version = f.newPing().Version
 	out.Weight, out.Leaving = f.Weight, f.stopping.Load()
 	out.Entries = f.alivePeers()
+	f.addZones(out)
 	if s.OwnedTerm > 0 {
 		n, err := f.leader.Pending()
 		out.Pending, out.Loading = n, err != nil
--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lagoonrack/internal/clock"
+	"lagoonrack/internal/evac"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -54,9 +55,26 @@
 	f.Log.Error(logs.StoreOperationFailed, fault.At(step, "store").Wrap(err), nil)
 }
 
-// readConfig reads the configuration and returns the store's version from which the
-// feed has to be followed.
+// readConfig reads the configuration, and the evacuated zones if they are followed, and
+// returns the store's version from which the feed has to be followed.
 func (f *Front) readConfig(ctx context.Context) (uint64, error) {
+	if f.followsZones() {
+		// First, since they are few bytes and starts wait for them.
+		c, cancel := f.withTimeout(ctx, readTimeout)
+		defer cancel()
+		from, err := f.readZones(c)
+		if err != nil {
+			return 0, err
+		}
+		_, err = f.readConfigRow(ctx)
+		return from, err
+	}
+	return f.readConfigRow(ctx)
+}
+
+// readConfigRow reads the configuration and returns the store's version as of which it
+// holds.
+func (f *Front) readConfigRow(ctx context.Context) (uint64, error) {
 	c, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
 	row, s, err := f.Rows.Read(c, f.Key)
@@ -72,6 +90,7 @@
 // has the history.
 func (f *Front) followConfig(ctx context.Context, from uint64) {
 	for ctx.Err() == nil {
+		began := f.Clock.Now()
 		rows, s, err := f.Rows.Feed(ctx, f.Table, from, feedLongPoll)
 		if err != nil {
 			if !errors.Is(err, plat.ErrHistoryGone) {
@@ -86,6 +105,9 @@
 				f.applyConfig(r.Value, "feed")
 			}
 		}
+		if f.followsZones() {
+			f.updateZones("feed", func(z evac.Zones) evac.Zones { return z.WithFeed(from, s.Version, began, f.zoneRows(rows)) })
+		}
 		from = max(from, s.Version)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"lagoonrack/internal/advice"
 	"lagoonrack/internal/await"
 	"lagoonrack/internal/clock"
+	"lagoonrack/internal/evac"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/guard"
 	"lagoonrack/internal/leader"
@@ -40,6 +41,9 @@
 	// reads it.
 	Table, Key string
 	Parse      func([]byte) (*work.Config, error)
+	// ZonePrefix begins the keys of the rows that evacuate a zone; the zone's name follows.
+	// The rows are in Table.
+	ZonePrefix string
 	// Advise asks the advisor which workers may run a step.
 	Advise func(ctx context.Context, q advice.Question) (sched.Advice, error)
 	Clock  clock.Clock
@@ -63,6 +67,9 @@
 	// fetching says that the configuration is being fetched from another entry.
 	fetching  atomic.Bool
 	applyLock sync.Mutex
+	// zones holds what is known of the evacuated zones. It is changed under zonesLock.
+	zones     atomic.Pointer[evac.Zones]
+	zonesLock sync.Mutex
 	// appliedAt is when the configuration came into force, in nanoseconds of the
 	// clock, or 0.
 	appliedAt atomic.Int64
@@ -120,6 +127,7 @@
 		return err
 	}
 	f.server = s
+	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.leader = &leader.Leader{
 		Name:          f.Name,
 		Addr:          s.Addr(),
@@ -136,7 +144,10 @@
 		AnnounceOwner: f.announceOwner,
 		AskAdvisor:    f.askAdvisor,
 	}
-	f.ctx, f.cancel = context.WithCancel(context.Background())
+	if f.followsZones() {
+		f.leader.Zones, f.leader.ReadZones = f.knownZones, f.readZones
+		f.loops.Go(func() { f.loopZones(f.ctx) })
+	}
 	f.loops.Go(func() { f.loopConfig(f.ctx) })
 	f.loops.Go(func() { f.loopRoster(f.ctx) })
 	f.loops.Go(func() { f.loopPings(f.ctx) })
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -21,6 +21,9 @@
 	f.Tally.Gauge(func() float64 { return f.leader.Status().Lag.Seconds() }, "lagoon_owner_lag_seconds")
 	f.Tally.Gauge(func() float64 { return float64(f.leader.Status().Takeovers) }, "lagoon_takeovers_in_row")
 	f.Tally.Gauge(func() float64 { return float64(f.leader.HintsDropped()) }, "lagoon_hints_dropped")
+	if f.followsZones() {
+		f.Tally.Gauge(f.zonesCount, "lagoon_zones_evacuated")
+	}
 	f.registerOwnerGauges()
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -223,6 +223,7 @@
 	} else {
 		f.leader.OwnerSeenByOther(time.Duration(pong.Age) * time.Millisecond)
 	}
+	f.learnZones(p, asked, pong)
 	f.leader.LearnOwner(pong.Term, pong.Owner)
 	if pong.Version > f.newPing().Version {
 		go f.fetchConfig(f.ctx, p.addr)
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// ZonesChanged tells the core which zones are evacuated, if this process owns the cell. Until
+// the core handles the next event, it goes by what it knew.
+func (l *Leader) ZonesChanged() {
+	if t := l.currentTerm(); t != nil {
+		l.step(t, sched.Evacuated{Zones: l.Zones()})
+	}
+}
+
 // State returns the state of a job, or an empty string if the owner does not
 // know the job.
 func (l *Leader) State(id string) (string, error) {
--- a/internal/leader/claim.go
+++ b/internal/leader/claim.go
@@ -163,6 +163,9 @@
 
 // load reads the state of the cell and returns the claimed term.
 func (l *Leader) load(ctx context.Context, claimed ownership, row plat.Row, confirmedAt time.Duration) (*term, error) {
+	if err := l.readZones(ctx); err != nil {
+		return nil, err
+	}
 	loading := l.rowsForLoading()
 	_, markRow, _, err := readRow[commitMark](ctx, loading, commitMarkKey)
 	if err != nil {
@@ -179,6 +182,18 @@
 	return t, nil
 }
 
+// readZones reads the evacuated zones from the store. What this process has learned of them
+// before may be older than the claim.
+func (l *Leader) readZones(ctx context.Context) error {
+	if l.ReadZones == nil {
+		return nil
+	}
+	c, cancel := context.WithTimeout(ctx, listCalls*l.StoreTimeout.For(l.Clock.Now(), callTimeout))
+	defer cancel()
+	_, err := l.ReadZones(c)
+	return err
+}
+
 // skipRow logs and counts a row that can't be used.
 func (l *Leader) skipRow(key string, err error) {
 	l.Tally.Inc("lagoon_rows_skipped_total", "step", "load")
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -19,6 +19,7 @@
 	"lagoonrack/internal/await"
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/elect"
+	"lagoonrack/internal/evac"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -66,6 +67,12 @@
 	// AskAdvisor asks the advisor a question. It returns within the question's limit.
 	AskAdvisor func(q advice.Question) (sched.Advice, error)
 
+	// Zones returns what this process knows of the evacuated zones. ReadZones reads them from
+	// the store, directly, before the state of a cell is loaded. Both are nil if evacuations
+	// are not read.
+	Zones     func() evac.Zones
+	ReadZones func(ctx context.Context) (uint64, error)
+
 	mu    sync.Mutex
 	watch elect.Watch
 	// known is the newest ownership that was read, or learned from another process.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -282,6 +282,10 @@
 	if len(events) == 0 {
 		return
 	}
+	if l.Zones != nil {
+		// The newest, so that no start is ordered by an older one that waited.
+		events = append([]sched.Event{sched.Evacuated{Zones: l.Zones()}}, events...)
+	}
 	for _, e := range events {
 		if _, ok := e.(sched.Committed); ok {
 			t.committing.Store(false)
--- a/review/stage2/platform/stage.go
+++ b/review/stage2/platform/stage.go
@@ -137,7 +137,11 @@
 			}
 			line = strings.ReplaceAll(first, "{{.}}", s.advisor.addr())
 		}
-		out = append(out, strings.TrimPrefix(line, "{{/advisor}}"))
+		if strings.HasPrefix(line, "{{#bounds.evacuationMs}}") {
+			// No zone is evacuated.
+			continue
+		}
+		out = append(out, strings.TrimPrefix(strings.TrimPrefix(line, "{{/advisor}}"), "{{/bounds.evacuationMs}}"))
 	}
 	return strings.Join(out, "")
 }
