sched: random sequences with evacuations

Two zones are evacuated and taken back at random while owners hear nothing of the zones for up to 6 s and orders take up to 4 s. No agent may send a start more than 3 s after the zone's row was acknowledged, and no owner may order one in a zone that it knows to be evacuated.

--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -148,6 +148,8 @@
 	speculative bool
 	// queues is what the world has of queues, or nil if they never change.
 	queues *queues
+	// zones is what the world has of evacuations, or nil if there are none.
+	zones *zones
 	// failure describes the first failed check, or is empty.
 	failure   string
 	lastToken uint64
@@ -171,6 +173,9 @@
 	if v.queues {
 		w.queues = newQueues(seed)
 	}
+	if v.zones {
+		w.zones = newZones(seed)
+	}
 	w.endsPerReport, w.rowBytes, w.tasksPerRow = 1+w.rng.IntN(5), 400+w.rng.IntN(1000), 1+w.rng.IntN(6)
 	if w.queues != nil {
 		// The ends of a wide job must not wait for seconds, since its tasks do.
@@ -189,7 +194,7 @@
 func (w *world) chance(p float64) bool { return !w.calm && w.rng.Float64() < p }
 
 // verbose says that the events of a sequence are logged. The environment variable
-// SEED selects the sequence; COPIES, if set, allows speculative copies in it, and QUEUES queues that change.
+// SEED selects the sequence; COPIES, if set, allows speculative copies in it, QUEUES queues that change, and ZONES evacuations.
 var verbose = os.Getenv("SEED") != ""
 
 // fail records a failed check. Only the first one counts.
@@ -278,6 +283,9 @@
 	}
 	slices.Sort(stored.Orphans)
 	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow}
+	if w.zones != nil {
+		l.Evacuation = evacuationBound
+	}
 	o := &owner{core: sched.New(l, w.currentTerm, w.now, 0, stored, w.config()), term: w.currentTerm, lastStates: map[string]string{}}
 	w.owners = append(w.owners, o)
 	w.logf("owner %d", o.term)
@@ -421,7 +429,8 @@
 	if r == nil || w.chance(0.04) {
 		return
 	}
-	w.after(w.messageDelay(), func() {
+	w.checkOrder(o, r, s.Order)
+	w.after(w.messageDelay()+w.orderDelay(), func() {
 		if r.partitioned {
 			return
 		}
@@ -810,6 +819,9 @@
 func (w *world) advance(until time.Duration, onStep func()) {
 	for w.now < until && w.failure == "" && !w.settled() {
 		w.now += stepInterval
+		if w.zones != nil {
+			w.tickZones()
+		}
 		pending := w.pending
 		w.pending = nil
 		for _, e := range pending {
@@ -851,8 +863,8 @@
 const settledCheckSteps = 25
 
 // variant selects what a sequence has beside the faults: steps that allow speculative copies,
-// or queues that change.
-type variant struct{ speculative, queues bool }
+// queues that change, or zones that are evacuated.
+type variant struct{ speculative, queues, zones bool }
 
 // runSequence simulates one random sequence: a period with faults, then a calm period
 // in which all jobs that can finish have to finish. It returns the first failed check.
@@ -953,7 +965,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if failure := runSequence(t, seed, variant{speculative: os.Getenv("COPIES") != "", queues: os.Getenv("QUEUES") != ""}); failure != "" {
+		if failure := runSequence(t, seed, variant{speculative: os.Getenv("COPIES") != "", queues: os.Getenv("QUEUES") != "", zones: os.Getenv("ZONES") != ""}); failure != "" {
 			t.Fatalf("seed %d: %s", seed, failure)
 		}
 		return
--- a/internal/sched/chaosagent_test.go
+++ b/internal/sched/chaosagent_test.go
@@ -408,13 +408,14 @@
 	switch {
 	case a.draining || a.leaving:
 		return work.Leaving
-	case known && w.now-stopped <= timeout || until == 0 || o.Word.Process != a.process || w.now-o.Word.Sent >= timeout || o.Word.Sent < a.renewableSince:
+	case known && w.now-stopped <= timeout || until == 0 || o.Word.Process != a.process || w.now-o.Word.Sent >= timeout || o.Word.Sent < a.renewableSince || o.StartBy > 0 && w.now > o.StartBy:
 		return work.Late
 	case !r.up:
 		return work.Unhealthy
 	case r.id != o.Life.ID:
 		return work.OtherIncarnation
 	}
+	w.checkZone(r, s, o)
 	serve := func() work.Code { return w.serveStart(r, s, o, until) }
 	if w.now < r.silentUntil {
 		w.callWorker(r, func(bool, time.Duration) { serve() })
@@ -479,7 +480,7 @@
 	report := work.Report{
 		Word:  work.ReportID{Process: a.process, Sent: w.now, Echo: a.echo},
 		Agent: r.addr, Unix: w.now.Milliseconds(),
-		Worker: work.Worker{Life: a.known, Service: "s", Size: r.size, Leaving: a.draining, Remaining: 2000},
+		Worker: work.Worker{Life: a.known, Service: "s", Zone: r.zoneOf(), Size: r.size, Leaving: a.draining, Remaining: 2000},
 		Ends:   a.list.ends, Cut: a.unresponsive || a.leaving, Gone: a.ended,
 	}
 	if a.listed && !a.unresponsive && !w.chance(0.1) {
