desk, ctlcmd: lagoonctl status lists evacuated zones

GET /v1/status of an entry on the platform returns its configuration, the cell's owner and, with fleet.evacuation, the evacuated zones with the store's version and when it was last confirmed.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -22,6 +22,18 @@
 	// Members lists the known entries, with the agents registered at each.
 	Members []roster.Member `json:"members"`
 	Cells   []CellStatus    `json:"cells"`
+	// Zones is nil if the entry does not follow evacuations.
+	Zones *ZoneStatus `json:"zones,omitempty"`
+}
+
+// ZoneStatus is what an entry knows of evacuated zones.
+type ZoneStatus struct {
+	Evacuated []string `json:"evacuated"`
+	// Version is the store's version as of which this holds, and AgeMs for how long
+	// nothing has confirmed it. Known is false before the first read.
+	Version uint64 `json:"version"`
+	AgeMs   int64  `json:"ageMs"`
+	Known   bool   `json:"known"`
 }
 
 // CellStatus is a cell and its owner.
--- a/internal/ctlcmd/status.go
+++ b/internal/ctlcmd/status.go
@@ -1,6 +1,7 @@
 package ctlcmd
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -13,7 +14,7 @@
 )
 
 func statusCommand() *cli.Command {
-	return command("status", "print entries, cells and which settings are in force where", " ", runStatus,
+	return command("status", "print entries, cells, evacuated zones and which settings are in force where", " ", runStatus,
 		entryFlag(), outputFlag(),
 		&cli.BoolFlag{Name: "wait", Usage: "wait until every process runs the newest settings"},
 		&cli.DurationFlag{Name: "timeout", Value: 30 * time.Second, Usage: "longest wait"},
@@ -58,7 +59,18 @@
 		}
 		fmt.Fprintf(w, "cell %s\towner %s\n", v.Name, owner)
 	}
+	if z := s.Zones; z != nil {
+		fmt.Fprintf(w, "zones evacuated: %s\t%s\n", cmp.Or(strings.Join(z.Evacuated, ", "), "none"), zonesAge(z))
+	}
 	if len(behind) > 0 {
 		fmt.Fprintf(w, "behind: %s\n", strings.Join(behind, ", "))
 	}
 }
+
+// zonesAge says how old an entry's knowledge of the evacuated zones is.
+func zonesAge(z *api.ZoneStatus) string {
+	if !z.Known {
+		return "not read yet"
+	}
+	return fmt.Sprintf("as of version %d, confirmed %v ago", z.Version, time.Duration(z.AgeMs)*time.Millisecond)
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -1,5 +1,5 @@
 // Package desk implements the operator API of an entry for jobs with steps: it
-// submits a job, returns its state and cancels it. A job is sent as the JSON form
+// submits a job, returns its state and cancels it, and returns the entry's status. A job is sent as the JSON form
 // of work.Job.
 package desk
 
@@ -25,6 +25,7 @@
 
 // Register registers the handler's paths with a server.
 func (d *Handler) Register(s *httpd.Server) {
+	s.GET("/v1/status", d.status)
 	s.POST("/v1/steps", d.submit)
 	s.GET("/v1/steps/:name", d.state)
 	s.DELETE("/v1/steps/:name", d.cancel)
--- a/internal/front/zones.go
+++ b/internal/front/zones.go
@@ -32,6 +32,12 @@
 // follow them.
 func (f *Front) Evacuated() (evac.Zones, bool) { return f.knownZones(), f.followsZones() }
 
+// Owner returns the address of the cell's owner as far as this entry knows, or "".
+func (f *Front) Owner() string {
+	owner, _ := f.leader.Owner()
+	return owner
+}
+
 // knownZones returns the evacuated zones as far as this entry knows.
 func (f *Front) knownZones() evac.Zones {
 	if z := f.zones.Load(); z != nil {
--- a/internal/gaps/gaps.go
+++ b/internal/gaps/gaps.go
@@ -155,7 +155,7 @@
 		t.away, t.runs[run] = false, true
 	case "move":
 		t.moving = "moved: " + l.Field("reason")
-	case "end", "vanish", "refused":
+	case "end", "vanish", "refused", "withdrawn":
 		r.ended(name, t, l, run)
 	}
 }
--- a/internal/traces/traces.go
+++ b/internal/traces/traces.go
@@ -259,6 +259,7 @@
 	"spread":   "the tasks of its step have to be apart",
 	"headroom": "latency-critical tasks would have suffered",
 	"gang":     "not all members of its gang fitted at a time",
+	"zone":     "only workers of evacuated zones had the capacity",
 }
 
 // heldText describes the longest time for which a task was held back.
@@ -283,7 +284,7 @@
 			if h := held[l.Field("reason")]; h == nil || l.Millis() > h.Millis() {
 				held[l.Field("reason")] = &own[i]
 			}
-		case "end", "vanish", "refused":
+		case "end", "vanish", "refused", "withdrawn":
 			if r := l.Field("reason"); r != "done" {
 				what := l.Field("kind") + " " + r
 				ends[what] = append(ends[what], l.Field("worker"))
