front, sched: configuration without the zones, gauge of evacuated workers, cold targets

A failed read of the zones does not keep an entry from its configuration. Workers of evacuated zones are counted apart and not as ready. Consolidation moves no task to a cold worker.

--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -58,18 +58,22 @@
 // readConfig reads the configuration, and the evacuated zones if they are followed, and
 // returns the store's version from which the feed has to be followed.
 func (f *Front) readConfig(ctx context.Context) (uint64, error) {
-	if f.followsZones() {
-		// First, since they are few bytes and starts wait for them.
-		c, cancel := f.withTimeout(ctx, readTimeout)
-		defer cancel()
-		from, err := f.readZones(c)
-		if err != nil {
-			return 0, err
-		}
-		_, err = f.readConfigRow(ctx)
-		return from, err
+	if !f.followsZones() {
+		return f.readConfigRow(ctx)
+	}
+	// First, since they are few bytes and starts wait for them. If that fails, loopZones reads
+	// them again; the configuration does not wait for it.
+	c, cancel := f.withTimeout(ctx, readTimeout)
+	defer cancel()
+	zones, failed := f.readZones(c)
+	if failed != nil {
+		f.storeFailed("read evacuated zones", failed)
+	}
+	from, err := f.readConfigRow(ctx)
+	if err == nil && failed == nil {
+		from = min(from, zones)
 	}
-	return f.readConfigRow(ctx)
+	return from, err
 }
 
 // readConfigRow reads the configuration and returns the store's version as of which it
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -23,6 +23,7 @@
 	f.Tally.Gauge(func() float64 { return float64(f.leader.HintsDropped()) }, "lagoon_hints_dropped")
 	if f.followsZones() {
 		f.Tally.Gauge(f.zonesCount, "lagoon_zones_evacuated")
+		f.Tally.Gauge(func() float64 { return float64(f.leader.Census().Evacuated) }, "lagoon_workers", "state", "evacuated")
 	}
 	f.registerOwnerGauges()
 }
--- a/internal/sched/census.go
+++ b/internal/sched/census.go
@@ -10,6 +10,8 @@
 	// are about to end, those that do not answer their agents, those whose runs
 	// fail or stall, and those whose agents do not report.
 	Ready, Draining, WorkersUnresponsive, Suspect, AgentsUnresponsive int
+	// Evacuated counts those of evacuated zones that would be ready or suspect otherwise.
+	Evacuated int
 	// Size is the processor capacity of the ready workers and Reserved the part
 	// that is reserved, in thousandths of a core.
 	Size, Reserved int64
@@ -56,6 +58,8 @@
 		out.WorkersUnresponsive++
 	case c.now-w.lastReport >= reportTimeout:
 		out.AgentsUnresponsive++
+	case c.zones.Closed(w.Zone):
+		out.Evacuated++
 	case c.suspect(w):
 		out.Suspect++
 	default:
--- a/internal/sched/consolidate.go
+++ b/internal/sched/consolidate.go
@@ -231,7 +231,7 @@
 	s := p.task.step
 	var best *worker
 	for _, w := range c.candidates(s, v.schedulable) {
-		if w == v.worker || w == exclude || w == p.worker || c.suspect(w) || !w.hasLongRunning() || !v.allowsSpread(p, w) || !s.Size.Fits(v.free(w)) {
+		if w == v.worker || w == exclude || w == p.worker || c.suspect(w) || c.coldFor(w) > 0 || !w.hasLongRunning() || !v.allowsSpread(p, w) || !s.Size.Fits(v.free(w)) {
 			continue
 		}
 		if best == nil || v.free(w).Cores < v.free(best).Cores {
--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -97,12 +97,20 @@
 	coldWeight = 50
 )
 
-// coldPenalty returns by how much a cold worker ranks lower for a step. A worker is slower for
-// some time after a start or an evacuation.
+// coldFor returns for how much longer a worker is slower than usual after a start or an
+// evacuation.
+func (c *Core) coldFor(w *worker) time.Duration {
+	if c.limits.Evacuation <= 0 {
+		return 0
+	}
+	return max(0, time.Duration(w.Cold)*time.Millisecond-(c.now-w.lastReport))
+}
+
+// coldPenalty returns by how much a cold worker ranks lower for a step.
 func (c *Core) coldPenalty(s *step, w *worker) float64 {
-	remaining := time.Duration(w.Cold)*time.Millisecond - (c.now - w.lastReport)
+	remaining := c.coldFor(w)
 	switch {
-	case c.limits.Evacuation <= 0 || remaining <= 0:
+	case remaining <= 0:
 		return 0
 	case s.Lasts || s.occurrence.slack < remaining:
 		// A run loses at most what remains.
--- a/internal/sched/evacuation_test.go
+++ b/internal/sched/evacuation_test.go
@@ -92,6 +92,8 @@
 		Expect(s.tasksPerWorker("a")).To(Equal([]int{1, 0}))
 		Expect(s.tasksPerWorker("web")).To(Equal([]int{1, 1}))
 		Expect(s.core.Census().Held).To(HaveKeyWithValue("zone", 2))
+		Expect(s.core.Census()).To(HaveField("Evacuated", 1))
+		Expect(s.core.Census()).To(HaveField("Ready", 1))
 		s.zoneTick(tickInterval)
 		Expect(s.tasksPerWorker("a")).To(Equal([]int{1, 1}))
 		Expect(s.core.CheckIndexes()).To(Succeed())
--- a/internal/tally/catalogue.go
+++ b/internal/tally/catalogue.go
@@ -73,7 +73,7 @@
 		{"lagoon_tasks", "gauge", "state", "entry", "Tasks that are placed on a worker and tasks that wait for placement, at the owner."},
 		{"lagoon_tasks_held", "gauge", "reason", "entry", "Tasks that wait for over a second although a worker has the capacity, by reason, among the first ones in the order of scheduling: label (no worker has it), advice (the advisor has not answered), refused (the advisor allows no such worker), moving, avoided (moved off the only worker), suspect (only suspect workers), spread (tasks of a step have to be apart), headroom (latency-critical tasks would suffer), gang (not all members fit), zone (only workers of evacuated zones have the capacity)."},
 		{"lagoon_worker_errors_total", "counter", "step", "agent", "Calls to the worker that failed."},
-		{"lagoon_workers", "gauge", "state", "entry", "Workers by their state at the owner: ready, leaving (draining), cut (the agent can't reach the worker), suspect (runs fail or stall), silent (the agent is unresponsive)."},
+		{"lagoon_workers", "gauge", "state", "entry", "Workers by their state at the owner: ready, leaving (draining), cut (the agent can't reach the worker), suspect (runs fail or stall), silent (the agent is unresponsive), evacuated (only with fleet.evacuation)."},
 		{"lagoon_zones_evacuated", "gauge", "", "entry", "Zones that the operator has evacuated, as far as the entry knows; only with fleet.evacuation."},
 	}
 }
