--- a/internal/front/config.go
+++ b/internal/front/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lagoonrack/internal/clock"
+	"lagoonrack/internal/evac"
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
@@ -54,9 +55,30 @@
 	f.Log.Error(logs.StoreOperationFailed, fault.At(step, "store").Wrap(err), nil)
 }
 
-// readConfig reads the configuration and returns the store's version from which the
-// feed has to be followed.
+// readConfig reads the configuration, and the evacuated zones if they are followed, and
+// returns the store's version from which the feed has to be followed.
 func (f *Front) readConfig(ctx context.Context) (uint64, error) {
+	if !f.followsZones() {
+		return f.readConfigRow(ctx)
+	}
+	// First, since they are few bytes and starts wait for them. If that fails, loopZones reads
+	// them again; the configuration does not wait for it.
+	c, cancel := f.withTimeout(ctx, readTimeout)
+	defer cancel()
+	zones, failed := f.readZones(c)
+	if failed != nil {
+		f.storeFailed("read evacuated zones", failed)
+	}
+	from, err := f.readConfigRow(ctx)
+	if err == nil && failed == nil {
+		from = min(from, zones)
+	}
+	return from, err
+}
+
+// readConfigRow reads the configuration and returns the store's version as of which it
+// holds.
+func (f *Front) readConfigRow(ctx context.Context) (uint64, error) {
 	c, cancel := context.WithTimeout(ctx, configTimeout)
 	defer cancel()
 	row, s, err := f.Rows.Read(c, f.Key)
@@ -72,6 +94,7 @@
 // has the history.
 func (f *Front) followConfig(ctx context.Context, from uint64) {
 	for ctx.Err() == nil {
+		began := f.Clock.Now()
 		rows, s, err := f.Rows.Feed(ctx, f.Table, from, feedLongPoll)
 		if err != nil {
 			if !errors.Is(err, plat.ErrHistoryGone) {
@@ -86,6 +109,9 @@
 				f.applyConfig(r.Value, "feed")
 			}
 		}
+		if f.followsZones() {
+			f.updateZones("feed", func(z evac.Zones) evac.Zones { return z.WithFeed(from, s.Version, began, f.zoneRows(rows)) })
+		}
 		from = max(from, s.Version)
 	}
 }
