--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -79,6 +79,13 @@
 	g.load, g.updated = l, now
 }
 
+// Clone returns a copy on which Observe and Admit do not change g.
+func (g *Controller) Clone() *Controller {
+	c := *g
+	c.retries = slices.Clone(g.retries)
+	return &c
+}
+
 // decay returns the factor by which decaying values fall in a duration.
 func decay(d time.Duration) float64 { return math.Exp2(-d.Seconds() / halfLife.Seconds()) }
 
--- a/internal/press/press.go
+++ b/internal/press/press.go
@@ -13,6 +13,7 @@
 package press
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -216,6 +217,14 @@
 // Forget removes the load of a latency-critical task that has ended.
 func (t *Table) Forget(task string) { delete(t.loads, task) }
 
+// View returns a table with the same estimates whose methods that only read leave t unchanged: the
+// factors that they cache are its own. Methods that change estimates must not be called on it.
+func (t *Table) View() Table {
+	v := *t
+	v.imageFactors = maps.Clone(t.imageFactors)
+	return v
+}
+
 // pair returns the factor of a pair. A new one starts from the factors of the
 // best-effort image beside other latency-critical images.
 func (t *Table) pair(bestEffort, critical string) *factor {
--- a/internal/vect/vect.go
+++ b/internal/vect/vect.go
@@ -62,3 +62,13 @@
 func (s Size) String() string {
 	return fmt.Sprintf("%.3g cores, %d MiB, %d accelerators", float64(s.Cores)/1000, s.Memory, s.Accel)
 }
+
+// Times returns how many times s fits into o, at most the given number.
+func (s Size) Times(o Size, most int64) int64 {
+	for _, d := range [...][2]int64{{s.Cores, o.Cores}, {s.Memory, o.Memory}, {s.Accel, o.Accel}} {
+		if d[0] > 0 {
+			most = min(most, max(0, d[1])/d[0])
+		}
+	}
+	return most
+}
