front, desk, ctlcmd: lagoonctl where

An entry forwards the question to the owner, as it does for admission and state, by Entry.Where; operators ask with POST /v1/where or lagoonctl where FILE. Questions take at most 5% of the owner's time: further ones wait, for a second at most each. An owner that is behind says that a job would be rejected as busy.

platform/soak has a test with whole processes: entries, agents and lagoonctl on the fakes of store and minions.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -11,6 +11,7 @@
 	"lagoonrack/internal/recent"
 	"lagoonrack/internal/roster"
 	"lagoonrack/internal/setup"
+	"lagoonrack/internal/work"
 )
 
 // Status is the response to GET /v1/status.
@@ -92,3 +93,11 @@
 	Records []ledger.Record `json:"records,omitempty"`
 	Steps   []recent.Step   `json:"steps,omitempty"`
 }
+
+// Where is the body of POST /v1/where, which asks where a job of steps would go now. The response
+// is a where.Answer.
+type Where struct {
+	Job work.Job `json:"job"`
+	// Most is the maximum number of candidates for each step.
+	Most int `json:"most"`
+}
--- a/internal/ctlcmd/root.go
+++ b/internal/ctlcmd/root.go
@@ -56,7 +56,7 @@
 		},
 		Commands: []*cli.Command{
 			checkCommand(), showCommand(), diffCommand(), applyCommand(), statusCommand(),
-			submitCommand(), stateCommand(), jobsCommand(), workersCommand(), cancelCommand(), whyCommand(), drainCommand(),
+			submitCommand(), stateCommand(), jobsCommand(), workersCommand(), cancelCommand(), whyCommand(), whereCommand(), drainCommand(),
 		},
 	}
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -28,10 +28,10 @@
 	s.POST("/v1/steps", d.submit)
 	s.GET("/v1/steps/:name", d.state)
 	s.DELETE("/v1/steps/:name", d.cancel)
+	s.POST("/v1/where", d.where)
 }
 
-// submit handles the submission of a job. The job's service is the service of its
-// queue.
+// submit handles the submission of a job.
 func (d *Handler) submit(ctx context.Context, rc *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
@@ -40,14 +40,22 @@
 		httpd.Problem(rc, http.StatusBadRequest, "body", err.Error())
 		return
 	}
+	if j, ok := d.checkJob(rc, j); ok {
+		writeOutcome(rc, "accepted", d.Front.Submit(ctx, j))
+	}
+}
+
+// checkJob checks a job and sets its service, which is that of its queue. If the job can't be
+// submitted, it writes the response and returns false.
+func (d *Handler) checkJob(rc *app.RequestContext, j work.Job) (work.Job, bool) {
 	if err := j.Check(); err != nil {
 		httpd.Problem(rc, http.StatusBadRequest, "job", err.Error())
-		return
+		return j, false
 	}
 	cfg := d.Front.Config()
 	if cfg == nil {
 		httpd.Problem(rc, http.StatusServiceUnavailable, "settings", "this entry has no configuration yet")
-		return
+		return j, false
 	}
 	for _, q := range cfg.Queues {
 		if q.Name == j.Queue {
@@ -56,9 +64,9 @@
 	}
 	if j.Service == "" {
 		httpd.Problem(rc, http.StatusNotFound, "queue", "there is no queue "+j.Queue)
-		return
+		return j, false
 	}
-	writeOutcome(rc, "accepted", d.Front.Submit(ctx, j))
+	return j, true
 }
 
 // state responds with the state of a job.
--- a/internal/leader/term.go
+++ b/internal/leader/term.go
@@ -56,6 +56,8 @@
 	// mu guards the core. It is held while the core handles a batch.
 	mu   sync.Mutex
 	core *sched.Core
+	// questions limits the questions of operators to the core.
+	questions questionLimit
 	// pending is the core's count of pending jobs as of its last tick.
 	pending atomic.Pointer[map[string]int]
 
