route, entry, ctlcmd: lagoonctl where service/NAME

The same question for a request of a service with minions. Each entry routes its own requests, so the one that is asked answers itself, with the agents of the service and the slots that it may use. pick's test for a slow minion and its count of slots got names, so that the explanation uses the same.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -94,10 +94,12 @@
 	Steps   []recent.Step   `json:"steps,omitempty"`
 }
 
-// Where is the body of POST /v1/where, which asks where a job of steps would go now. The response
-// is a where.Answer.
+// Where is the body of POST /v1/where, which asks where a job of steps or a request would go now.
+// An entry answers about one of both. The response is a where.Answer.
 type Where struct {
 	Job work.Job `json:"job"`
+	// Service asks about a request of the service instead of a job.
+	Service string `json:"service,omitempty"`
 	// Most is the maximum number of candidates for each step.
 	Most int `json:"most"`
 }
--- a/internal/desk/where.go
+++ b/internal/desk/where.go
@@ -21,6 +21,10 @@
 		httpd.Problem(rc, http.StatusBadRequest, "body", err.Error())
 		return
 	}
+	if in.Service != "" {
+		httpd.Problem(rc, http.StatusNotFound, "service", "this entry serves jobs of steps and no requests")
+		return
+	}
 	j, ok := d.checkJob(rc, in.Job)
 	if !ok {
 		return
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -33,6 +33,7 @@
 	e.operator.GET("/v1/why/job/:name", e.whyOf("why"))
 	e.operator.GET("/v1/why/worker/:name", e.whyOf("why-worker"))
 	e.operator.GET("/v1/why/request/:name", e.whyRequest)
+	e.operator.POST("/v1/where", e.postWhere)
 	e.operator.NoRoute(func(_ context.Context, rc *app.RequestContext) {
 		httpd.Problem(rc, http.StatusNotFound, "path", fmt.Sprintf("there is no %s %s", rc.Method(), rc.Path()))
 	})
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -52,11 +52,11 @@
 	var best *minion
 	bestFree, bestSlow, ties := 0, false, 0
 	for _, m := range s.minions {
-		free := m.freeSlots(s.limits.AgentQueue) + m.grantedSlots
+		free := s.slotsOn(m)
 		if free <= 0 || !m.usable(now, s.limits.UnresponsiveAfter) || exclude != nil && exclude.triedOn(m) {
 			continue
 		}
-		slow := s.meanRunTime > 0 && m.meanRunTime > slowFactor*s.meanRunTime
+		slow := s.isSlow(m)
 		switch {
 		case best == nil || bestSlow && !slow || bestSlow == slow && free > bestFree:
 			best, bestFree, bestSlow, ties = m, free, slow, 1
@@ -70,6 +70,14 @@
 	return best
 }
 
+// slotsOn returns how many more calls this entry may send to a minion.
+func (s *service) slotsOn(m *minion) int { return m.freeSlots(s.limits.AgentQueue) + m.grantedSlots }
+
+// isSlow reports whether a minion runs much slower than the rest.
+func (s *service) isSlow(m *minion) bool {
+	return s.meanRunTime > 0 && m.meanRunTime > slowFactor*s.meanRunTime
+}
+
 // recordRunTime updates the run-time estimates with one completed attempt of a
 // request of the class.
 func (s *service) recordRunTime(class string, d time.Duration) {
--- a/internal/where/print.go
+++ b/internal/where/print.go
@@ -1,6 +1,7 @@
 package where
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -32,6 +33,13 @@
 	"beside":   "tasks of the step are on the worker already",
 	"full":     "long-running jobs hold what the service does not keep for other work",
 	"busy":     "the owner of the cell is behind with its work",
+	"queue":    "as many requests wait as may",
+	"late":     "the request would not end in time",
+	"stopping": "the entry is stopping",
+	"service":  "the entry has no such service",
+	"ejected":  "several calls in a row have failed there",
+	"slots":    "no slot is free there",
+	"slow":     "calls take much longer there than elsewhere",
 }
 
 // String formats the answer for people.
@@ -39,7 +47,7 @@
 	var b strings.Builder
 	a.printVerdict(&b)
 	for _, s := range a.Steps {
-		s.print(&b)
+		s.print(&b, a.Service != "")
 	}
 	if a.More > 0 {
 		fmt.Fprintf(&b, "%d more steps are ready and were not evaluated\n", a.More)
@@ -53,34 +61,50 @@
 
 // printVerdict prints what admission says and where the job stands among those that wait.
 func (a *Answer) printVerdict(b *strings.Builder) {
+	what := "job " + a.Job
+	if a.Service != "" {
+		what = "a request of service " + a.Service
+	}
 	switch {
 	case a.State != "":
-		fmt.Fprintf(b, "job %s is %s already", a.Job, a.State)
+		fmt.Fprintf(b, "%s is %s already", what, a.State)
 	case a.Rejected != "":
-		fmt.Fprintf(b, "job %s would be rejected (%s); try again in %s", a.Job, a.Rejected, time.Duration(a.RetryAfter)*time.Millisecond)
+		fmt.Fprintf(b, "%s would be rejected (%s)", what, a.Rejected)
 	default:
-		fmt.Fprintf(b, "job %s would be accepted", a.Job)
+		fmt.Fprintf(b, "%s would be accepted", what)
+	}
+	if a.RetryAfter > 0 {
+		fmt.Fprintf(b, "; try again in %s", time.Duration(a.RetryAfter)*time.Millisecond)
 	}
-	if a.Rank != "" {
+	switch {
+	case a.Rank != "":
 		fmt.Fprintf(b, "; priority %d, %s, %d ahead of it wait", a.Priority, a.Rank, a.Ahead)
+	case a.Service != "":
+		fmt.Fprintf(b, "; %d ahead of it wait", a.Ahead)
 	}
 	if a.Owner != "" {
 		fmt.Fprintf(b, "; answered by %s", a.Owner)
 	}
 	fmt.Fprintln(b)
 	if a.Workers == 0 {
-		fmt.Fprintln(b, "the owner knows no worker of the job's service")
+		fmt.Fprintf(b, "%s knows no worker of the service\n", cmp.Or(a.Owner, "the owner"))
 	}
 }
 
-// print prints a step with its candidates.
-func (s *step) print(b *strings.Builder) {
+// print prints a step, or a request, with its candidates.
+func (s *step) print(b *strings.Builder, request bool) {
 	kind := ""
 	if s.BestEffort {
 		kind = " on idle processor time"
 	}
-	fmt.Fprintf(b, "\nstep %s: %d tasks of %s%s\n", s.Name, s.Tasks, s.Size, kind)
+	if !request {
+		fmt.Fprintf(b, "\nstep %s: %d tasks of %s%s\n", s.Name, s.Tasks, s.Size, kind)
+	}
 	switch {
+	case request && s.Fitting > 0:
+		fmt.Fprintf(b, "%d workers have %d free slots\n", s.Fitting, s.Room)
+	case request:
+		fmt.Fprintln(b, "no worker has a free slot")
 	case s.Held != "":
 		fmt.Fprintf(b, "none starts now (%s): %d workers have room for %d tasks\n", s.Held, s.Fitting, s.Room)
 	case s.Fitting > 0:
@@ -88,25 +112,31 @@
 	default:
 		fmt.Fprintln(b, "no worker can take a task now")
 	}
-	s.printCandidates(b)
+	s.printCandidates(b, request)
 	for _, r := range s.reasons() {
 		fmt.Fprintf(b, "excluded for %s: %d\n", r, s.Excluded[r])
 	}
 }
 
 // printCandidates prints the table of the candidates.
-func (s *step) printCandidates(b *strings.Builder) {
+func (s *step) printCandidates(b *strings.Builder, request bool) {
 	if len(s.Candidates) == 0 {
 		return
 	}
 	t := tabwriter.NewWriter(b, 0, 8, 2, ' ', 0)
-	fmt.Fprint(t, "WORKER\tZONE\tRACK\tFREE\t")
+	fmt.Fprint(t, "WORKER\t")
+	if !request {
+		fmt.Fprint(t, "ZONE\tRACK\tFREE\t")
+	}
 	if s.BestEffort {
 		fmt.Fprint(t, "IDLE\tHEADROOM\tMARGIN\t")
 	}
 	fmt.Fprintln(t, "ROOM\tSCORE\tFOR\tAGAINST\tEXCLUDED")
 	for _, c := range s.Candidates {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t", c.Worker, list(c.Zone), list(c.Rack), brief(c.Free))
+		fmt.Fprintf(t, "%s\t", c.Worker)
+		if !request {
+			fmt.Fprintf(t, "%s\t%s\t%s\t", list(c.Zone), list(c.Rack), brief(c.Free))
+		}
 		if s.BestEffort {
 			fmt.Fprintf(t, "%.1f\t%.2f\t%.2f\t", float64(c.Idle)/1000, c.Headroom, c.Margin)
 		}
--- a/internal/where/where.go
+++ b/internal/where/where.go
@@ -1,5 +1,6 @@
-// Package where holds and formats the explanation of where the tasks of a job would go now: for
-// each step the candidate workers with what speaks for and against each, and what admission says.
+// Package where holds and formats the explanation of where the tasks of a job, or a request, would
+// go now: for each step the candidate workers with what speaks for and against each, and what
+// admission says.
 //
 // Reasons are short codes, such as "capacity". Whoever fills in an Answer decides which apply;
 // this package only counts, orders and prints them. A code without an entry in texts is printed
@@ -16,8 +17,12 @@
 
 // Answer explains where the tasks of a job would go. The zero value has no steps.
 type Answer struct {
-	Job string `json:"job"`
-	// Owner is the name of the entry that owns the cell and has given the answer.
+	// Job is the name of the job. An answer about a request has the name of a service instead,
+	// and a single step whose candidates have slots instead of a capacity.
+	Job     string `json:"job,omitempty"`
+	Service string `json:"service,omitempty"`
+	// Owner is the name of the entry that owns the cell and has given the answer, or
+	// that of the entry that answers for itself about a request.
 	Owner string `json:"owner"`
 	// State is the state of the job if the owner knows it, and otherwise empty. In that case
 	// the answer is about a job that is submitted now.
@@ -27,7 +32,7 @@
 	Rejected   string `json:"rejected,omitempty"`
 	RetryAfter int64  `json:"retryAfterMs,omitempty"`
 	// Priority is that of the job's queue, and Rank its order within the priority. Ahead is the
-	// number of occurrences of jobs with waiting tasks that come first.
+	// number of occurrences of jobs with waiting tasks, or of requests, that come first.
 	Priority int    `json:"priority"`
 	Rank     string `json:"rank,omitempty"`
 	Ahead    int    `json:"ahead"`
--- a/internal/where/where_test.go
+++ b/internal/where/where_test.go
@@ -80,10 +80,16 @@
 	s.Add("w").Excluded = []string{"unheard-of"}
 	s.Cut(1)
 	expect("rejected", none, "would be rejected (full); try again in 4.5s", "no worker can take a task now", "HEADROOM",
-		"excluded for unheard-of: 1\n", "full: long-running jobs hold", "knows no worker")
+		"excluded for unheard-of: 1\n", "full: long-running jobs hold", "the owner knows no worker of the service\n")
 	gang := Answer{Job: "job", State: "queued"}
 	newStep(&gang).Held = "gang"
 	gang.Steps[0].Cut(1)
 	expect("held", gang, "job job is queued already", "none starts now (gang): 3 workers have room for 6 tasks", "gang: all tasks")
-	expect("unknown service", Answer{Job: "job"}, "job job would be accepted\n", "knows no worker of the job's service")
+	expect("unknown service", Answer{Job: "job"}, "job job would be accepted\n", "the owner knows no worker of the service\n")
+	request := Answer{Service: "torhaus", Owner: "entry-1", Ahead: 2, Workers: 6}
+	newStep(&request).Cut(2)
+	expect("request", request, "a request of service torhaus would be accepted; 2 ahead of it wait; answered by entry-1\n", "3 workers have 6 free slots\n")
+	if text := request.String(); strings.Contains(text, "FREE") || strings.Contains(text, "step") {
+		t.Errorf("an answer about a request has columns of jobs:\n%s", text)
+	}
 }
