--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -79,7 +79,7 @@
 // Changes that do not fit are committed in several transactions; each callback runs after
 // the one that stores the last of the changes that it waits for.
 func (c *Core) commitDirty() {
-	if c.commitInflight || len(c.dirtyRows) == 0 && c.obsoleteRows.len() == 0 {
+	if c.commitInflight || len(c.dirtyRows) == 0 && c.obsoleteRows.Len() == 0 {
 		return
 	}
 	t := transaction{maxSize: bytesPerCommit}
@@ -87,7 +87,7 @@
 		t.maxSize = bytesPerSlowCommit
 	}
 	c.takeDirty(&t)
-	for _, k := range c.obsoleteRows.take(max(0, rowsPerCommit-len(t.writes))) {
+	for _, k := range c.obsoleteRows.Take(max(0, rowsPerCommit-len(t.writes))) {
 		t.writes = append(t.writes, plat.Write{Key: k})
 	}
 	t.writes = append(t.writes, c.saveLearned()...)
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -26,6 +26,7 @@
 
 	"lagoonrack/internal/advice"
 	"lagoonrack/internal/intake"
+	"lagoonrack/internal/keys"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
 	"lagoonrack/internal/work"
@@ -67,7 +68,7 @@
 	// A row that was stored before its turn stays in the list and counts as taken then.
 	dirtyRows []dirtyRow
 	// obsoleteRows holds the keys of state rows to delete.
-	obsoleteRows keyQueue
+	obsoleteRows keys.Queue
 	purger
 	// dirtyAdded counts the rows that were ever added to dirtyRows, and dirtyTaken those
 	// that were taken into a transaction.
@@ -183,7 +184,7 @@
 		c.loadJob(j, stored.Progress[j.ID], stored.Versions[j.ID])
 	}
 	for _, key := range stored.Orphans {
-		c.obsoleteRows.add(key)
+		c.obsoleteRows.Add(key)
 	}
 	for _, id := range stored.Cancels {
 		c.cancel(id)
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -211,7 +211,7 @@
 			c.emit(Decision{Kind: "forgot", Reason: err.Error()})
 		}
 		if err != nil || !ok && key != LearnedKey {
-			c.obsoleteRows.add(key)
+			c.obsoleteRows.Add(key)
 			continue
 		}
 		c.restoreRow(row)
--- a/internal/sched/progress.go
+++ b/internal/sched/progress.go
@@ -317,7 +317,7 @@
 				continue
 			}
 			for part := range j.pageParts[page] {
-				c.obsoleteRows.add(stateRowKey(j.ID, page, part))
+				c.obsoleteRows.Add(stateRowKey(j.ID, page, part))
 			}
 			j.setParts(page, 0)
 		}
@@ -342,7 +342,7 @@
 		// Nearly all rows have one part.
 		j.setParts(page, 1)
 		key := stateRowKey(j.ID, page, 0)
-		c.obsoleteRows.remove(key)
+		c.obsoleteRows.Remove(key)
 		return append(out, plat.Write{Key: key, Value: data}), len(data)
 	default:
 		parts, err = c.encodeParts(st)
@@ -364,7 +364,7 @@
 			w.Value = parts[part]
 			size += len(w.Value)
 		}
-		c.obsoleteRows.remove(w.Key)
+		c.obsoleteRows.Remove(w.Key)
 		out = append(out, w)
 	}
 	j.setParts(page, len(parts))
--- a/internal/sched/purge.go
+++ b/internal/sched/purge.go
@@ -135,7 +135,7 @@
 	c.advice.DropJob(j.ID)
 	c.deleted[j.ID] = deletedJob{version: e.Version, at: c.now}
 	for _, key := range j.stateKeys() {
-		c.obsoleteRows.add(key)
+		c.obsoleteRows.Add(key)
 	}
 }
 
