--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -94,8 +94,8 @@
 	c.learned.lastSave = c.now
 	c.noteLearned()
 	var row learnedRow
-	if c.wallClock.known {
-		row.WallClockOffset = (c.wallClock.offset - c.storeOffset).Milliseconds()
+	if offset, ok := c.wallClock.Offset(); ok {
+		row.WallClockOffset = (offset - c.storeOffset).Milliseconds()
 	}
 	out := c.appendLearned(nil, LearnedKey, row)
 	pages := learnedPagesPerSave
@@ -234,6 +234,6 @@
 	}
 	c.interference.Restore(row.Interference)
 	if row.WallClockOffset != 0 {
-		c.wallClock.restore(time.Duration(row.WallClockOffset)*time.Millisecond + c.storeOffset)
+		c.wallClock.Restore(time.Duration(row.WallClockOffset)*time.Millisecond + c.storeOffset)
 	}
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -30,7 +30,7 @@
 		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term, Challenge: c.challengeFor(w, e.Word), Now: c.moment()}})
 		return
 	}
-	c.wallClock.add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
+	c.wallClock.Add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
 	changed := !w.reported || w.Leaving != e.Worker.Leaving
 	w.Worker = e.Worker
 	w.lastReport = c.now
