--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -29,6 +29,7 @@
 	"lagoonrack/internal/keys"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
+	"lagoonrack/internal/timing"
 	"lagoonrack/internal/work"
 )
 
@@ -99,7 +100,7 @@
 	// outbox lists the workers whose collected order is sent at the end of the
 	// step.
 	outbox       []*worker
-	runTimes     runTimes
+	runTimes     timing.Table
 	interference press.Table
 	learned      learned
 	// listCount numbers the lists of runs that were handled.
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -1,101 +1,14 @@
 package sched
 
 import (
-	"cmp"
-	"maps"
-	"math"
-	"slices"
 	"time"
 
-	"lagoonrack/internal/learn"
 	"lagoonrack/internal/work"
 )
 
-// runTimes holds the learned run times by queue. The zero value is ready to use.
-type runTimes struct {
-	queues map[string]queueTimes
-	// changed holds the queues whose run times have changed since they were last saved.
-	changed map[string]bool
-}
-
-// queueTimes holds the learned run times of one queue's tasks: Duration in seconds
-// and Ratio relative to the declared estimate.
-type queueTimes struct {
-	Duration learn.Estimate `cbor:"1,keyasint"`
-	Ratio    learn.Estimate `cbor:"2,keyasint"`
-	// used is the time of the newest observation.
-	used time.Duration
-}
-
-// maxQueueTimes bounds the memory of queues that are not in use any more.
-const maxQueueTimes = 4096
-
-// add records at a time a successful task that did the given work, as a duration at full
-// speed.
-func (t *runTimes) add(now time.Duration, queue string, s *work.Step, workDone time.Duration) {
-	if workDone <= 0 {
-		return
-	}
-	v := t.queues[queue]
-	v.Duration = v.Duration.With(workDone.Seconds())
-	if s.Estimate > 0 {
-		v.Ratio = v.Ratio.With(workDone.Seconds() * 1000 / float64(s.Estimate))
-	}
-	v.used = now
-	t.set(queue, v)
-}
-
-// set sets the run times of a queue. If there are too many queues, that which was used
-// longest ago is forgotten.
-func (t *runTimes) set(queue string, v queueTimes) {
-	if t.queues == nil {
-		t.queues, t.changed = map[string]queueTimes{}, map[string]bool{}
-	}
-	t.queues[queue] = v
-	t.changed[queue] = true
-	if len(t.queues) <= maxQueueTimes {
-		return
-	}
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.queues)), func(a, b string) int {
-		return cmp.Or(cmp.Compare(t.queues[a].used, t.queues[b].used), cmp.Compare(a, b))
-	})
-	delete(t.queues, oldest)
-	t.changed[oldest] = true
-}
-
-// estimate returns the expected duration of one task of a step at full speed, and a
-// duration that one task in ten exceeds.
-func (t *runTimes) estimate(queue string, s *work.Step) (usual, long time.Duration) {
-	declared := float64(s.Estimate) / 1000
-	v := t.queues[queue]
-	if !v.Duration.Known() {
-		return seconds(declared), seconds(defaultSpread * declared)
-	}
-	median := v.Duration.Median
-	spread := v.Duration.High / v.Duration.Median
-	if declared > 0 && v.Ratio.Known() {
-		median = math.Sqrt(median * declared * v.Ratio.Median)
-		spread = min(spread, v.Ratio.High/v.Ratio.Median)
-	}
-	return seconds(median), seconds(median * spread)
-}
-
-// defaultSpread is the assumed ratio between the duration that one task in ten
-// exceeds and the declared one, until it has been learned.
-const defaultSpread = 1.8
-
-// seconds converts a number of seconds to a duration.
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// manyTasks is the number of tasks of a step at which the longest one is expected
-// to take as long as the duration that one task in ten exceeds.
-const manyTasks = 7
-
 // expectedLongest returns the expected duration of the longest task of a step.
 func (c *Core) expectedLongest(j *job, s *work.Step) time.Duration {
-	usual, long := c.runTimes.estimate(j.Queue, s)
-	share := min(1, float64(s.Count-1)/(manyTasks-1))
-	return usual + time.Duration(share*float64(long-usual))
+	return c.runTimes.Longest(j.Queue, s)
 }
 
 // countWork adds the work of a run since it was last counted, at the share of full
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -8,6 +8,7 @@
 	"lagoonrack/internal/book"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
+	"lagoonrack/internal/timing"
 	"lagoonrack/internal/work"
 )
 
@@ -42,8 +43,8 @@
 
 // learnedRow is the stored form of the row or a page.
 type learnedRow struct {
-	Queues       map[string]queueTimes `cbor:"1,keyasint,omitempty"`
-	Interference press.Saved           `cbor:"2,keyasint"`
+	Queues       map[string]timing.Times `cbor:"1,keyasint,omitempty"`
+	Interference press.Saved             `cbor:"2,keyasint"`
 	// WallClockOffset is how far the time of day is ahead of the store's clock, in
 	// milliseconds, or 0 if that is not known.
 	WallClockOffset int64 `cbor:"3,keyasint,omitempty"`
@@ -128,11 +129,10 @@
 
 // noteLearned puts the records that have changed since the last call on their pages.
 func (c *Core) noteLearned() {
-	for _, q := range sortedKeys(c.runTimes.changed) {
-		_, ok := c.runTimes.queues[q]
+	for _, q := range c.runTimes.Changed() {
+		_, ok := c.runTimes.Times(q)
 		c.noteRecord(learnedRecord{kind: queueRecord, name: q}, ok)
 	}
-	clear(c.runTimes.changed)
 	pairs, images := c.interference.Changed()
 	for _, image := range images {
 		_, ok := c.interference.SavedBase(image)
@@ -156,11 +156,11 @@
 
 // learnedPage returns the stored form of a page with the given records.
 func (c *Core) learnedPage(records []learnedRecord) learnedRow {
-	row := learnedRow{Queues: map[string]queueTimes{}, Interference: press.Saved{Bases: map[string]float64{}}}
+	row := learnedRow{Queues: map[string]timing.Times{}, Interference: press.Saved{Bases: map[string]float64{}}}
 	for _, r := range records {
 		switch r.kind {
 		case queueRecord:
-			if v, ok := c.runTimes.queues[r.name]; ok {
+			if v, ok := c.runTimes.Times(r.name); ok {
 				row.Queues[r.name] = v
 			}
 		case baseRecord:
@@ -224,13 +224,14 @@
 			}
 		}
 	}
-	clear(c.runTimes.changed)
+	// What was loaded is stored already.
+	c.runTimes.Changed()
 }
 
 // restoreRow loads what a row holds.
 func (c *Core) restoreRow(row learnedRow) {
 	for _, q := range sortedKeys(row.Queues) {
-		c.runTimes.set(q, row.Queues[q])
+		c.runTimes.Set(q, row.Queues[q])
 	}
 	c.interference.Restore(row.Interference)
 	if row.WallClockOffset != 0 {
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -89,7 +89,7 @@
 
 // taskCost returns the expected work of a task in core-seconds.
 func (c *Core) taskCost(t *task) float64 {
-	usual, _ := c.runTimes.estimate(t.step.job.Queue, t.step.Step)
+	usual, _ := c.runTimes.Estimate(t.step.job.Queue, t.step.Step)
 	if t.step.Lasts {
 		usual = max(usual, longRunningWorth)
 	}
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -315,7 +315,7 @@
 			return
 		}
 		c.countWork(p)
-		c.runTimes.add(c.now, p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
+		c.runTimes.Add(c.now, p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
 	case work.Failed:
 		c.noteFailure(p, "failures")
 	}
--- a/internal/sched/stall.go
+++ b/internal/sched/stall.go
@@ -48,7 +48,7 @@
 
 // stallTimeoutOf returns how long a task may make no progress.
 func (c *Core) stallTimeoutOf(t *task) time.Duration {
-	usual, _ := c.runTimes.estimate(t.step.job.Queue, t.step.Step)
+	usual, _ := c.runTimes.Estimate(t.step.job.Queue, t.step.Step)
 	base := max(stallTimeout, time.Duration(stallShare*float64(usual)))
 	return base << min(max(t.stalls+1-stallBackoffAfter, 0), maxStallDoublings)
 }
@@ -94,7 +94,7 @@
 	if c.lastAttempt(t) {
 		return false
 	}
-	usual, _ := c.runTimes.estimate(s.job.Queue, s.Step)
+	usual, _ := c.runTimes.Estimate(s.job.Queue, s.Step)
 	_, remaining := c.expectedWork(t, usual)
 	stalled := p.percentSince > 0 && c.now-p.percentSince > stallTimeout/2
 	return c.now-p.confirmedAt > usual && (stalled || float64(remaining) > copyThreshold*float64(usual))
