--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"lagoonrack/internal/advice"
+	"lagoonrack/internal/freed"
 	"lagoonrack/internal/intake"
 	"lagoonrack/internal/keys"
 	"lagoonrack/internal/plat"
@@ -106,7 +107,7 @@
 	// listCount numbers the lists of runs that were handled.
 	listCount uint64
 	// released records the runs that were released without a listed end.
-	released releasedRuns
+	released freed.Runs
 	// challengeCount is the number of challenges issued in this term.
 	challengeCount uint64
 	// admission decides, by service, whether long-running jobs are accepted, and
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -388,7 +388,7 @@
 // releaseVanished releases a placement whose run is over without a reported end.
 func (c *Core) releaseVanished(p *placement, reason string) {
 	c.emit(Decision{Kind: "vanish", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: reason})
-	c.released.add(p, reason, c.now)
+	c.released.Add(c.now, p.worker.ID, p.id, reason)
 	if p.checkpoint != "" {
 		p.task.checkpoint = p.checkpoint
 	}
@@ -414,8 +414,8 @@
 // owner ordered the run whose transaction was not applied.
 func (c *Core) stopUnknownRun(w *worker, r work.Run) {
 	stray := Decision{Kind: "stray", Task: r.Task, Run: r.Num, Worker: w.ID}
-	if x, ok := c.released.find(w.ID, r); ok {
-		stray.Reason, stray.Took = x.reason, c.now-x.at
+	if reason, at, ok := c.released.Find(w.ID, r); ok {
+		stray.Reason, stray.Took = reason, c.now-at
 	}
 	c.emit(stray)
 	o := c.orderFor(w)
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -64,7 +64,7 @@
 		c.advice.DropTicket(p.task.step.name(), p.worker.ID)
 	}
 	if !p.multipleOrders {
-		c.released.add(p, string(code), c.now)
+		c.released.Add(c.now, p.worker.ID, p.id, string(code))
 		c.release(p)
 		return
 	}
