states, sched: the rows of a job's progress have a package of their own

progress.go keeps which tasks and fields a row holds; how they are divided into pages and parts, which are stored or dirty, and the keys move to package states, with tests of their own. sched keeps its exported names for the table.

--- a/internal/sched/commit.go
+++ b/internal/sched/commit.go
@@ -14,8 +14,8 @@
 
 // markDirty queues a page or the main row of a job's progress to be stored.
 func (c *Core) markDirty(j *job, page int) {
-	if !j.isDirty(page) {
-		j.setDirty(page, true)
+	if !j.rows.IsDirty(page) {
+		j.rows.SetDirty(page, true)
 		c.dirtyRows = append(c.dirtyRows, dirtyRow{j, page})
 		c.dirtyAdded++
 	}
@@ -112,18 +112,18 @@
 	}()
 	for _, r := range c.dirtyRows {
 		j := r.job
-		if !j.isDirty(r.page) || c.jobs[j.ID] != j {
+		if !j.rows.IsDirty(r.page) || c.jobs[j.ID] != j {
 			// The row was stored before its turn, or the job's rows were deleted.
 			taken++
 			continue
 		}
-		rows := j.dirtyRows()
-		if !inTurns && !t.hasRoom(len(rows), j.dirtyBytes()) {
+		rows := j.rows.Dirty()
+		if !inTurns && !t.hasRoom(len(rows), j.rows.DirtyBytes()) {
 			return
 		}
-		if inTurns = inTurns || len(rows) > rowsPerCommit || j.dirtyBytes() > t.maxSize; inTurns {
+		if inTurns = inTurns || len(rows) > rowsPerCommit || j.rows.DirtyBytes() > t.maxSize; inTurns {
 			rows = []int{r.page}
-			if j.mainDirty && r.page != mainRow {
+			if j.rows.IsDirty(mainRow) && r.page != mainRow {
 				rows = []int{mainRow, r.page}
 			}
 		}
@@ -142,16 +142,16 @@
 	if !t.hasRoom(1, 0) {
 		return false
 	}
-	parts, n := j.parts(page), len(t.writes)
+	parts, n := j.rows.Parts(page), len(t.writes)
 	writes, size := c.appendRow(t.writes, j, page)
 	if !t.hasRoom(len(writes)-n, size) {
 		// The row is encoded again for the next transaction.
-		j.setParts(page, parts)
+		j.rows.SetParts(page, parts)
 		return false
 	}
-	j.setDirty(page, false)
+	j.rows.SetDirty(page, false)
 	if page != mainRow {
-		j.pageBytes = size
+		j.rows.SetPageBytes(size)
 	}
 	t.writes = writes
 	t.size += size
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lagoonrack/internal/states"
 	"lagoonrack/internal/work"
 )
 
@@ -40,7 +41,8 @@
 	// visibleState is the state reported to clients. Except for a cancellation it
 	// is always stored already.
 	visibleState string
-	progressRows
+	// rows holds which rows of the progress are stored and which have to be.
+	rows states.Rows
 	// acceptedAt is when the job was accepted, by the owner's clock.
 	acceptedAt time.Duration
 	// seq numbers the jobs in the order in which the owner learned of them.
@@ -130,7 +132,7 @@
 func (c *Core) addJob(spec work.Job) *job {
 	c.jobCount++
 	j := &job{Job: spec, visibleState: "queued", acceptedAt: c.acceptanceTime(spec), seq: c.jobCount}
-	j.progressRows = newProgressRows(&j.Job, c.limits)
+	j.rows = states.New(&j.Job, c.limits.TasksPerRow, c.limits.rowBytes())
 	c.updateTerms(j)
 	c.jobs[j.ID] = j
 	c.active = append(c.active, j)
--- a/internal/sched/purge.go
+++ b/internal/sched/purge.go
@@ -134,7 +134,7 @@
 	delete(c.jobs, j.ID)
 	c.advice.DropJob(j.ID)
 	c.deleted[j.ID] = deletedJob{version: e.Version, at: c.now}
-	for _, key := range j.stateKeys() {
+	for _, key := range j.rows.Keys(j.ID) {
 		c.obsoleteRows.Add(key)
 	}
 }
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -2,16 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"lagoonrack/internal/work"
 )
 
-// sortedKeys returns the keys of a map in ascending order.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
-
 // handleReport updates the worker's state from an agent's report and answers it.
 func (c *Core) handleReport(e Report) {
 	if e.Worker.ID == "" {
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -9,7 +9,7 @@
 // state returns the task's progress in its stored form.
 func (t *task) state() work.TaskState {
 	s := work.TaskState{K: t.step.occurrenceNumber, Step: t.step.index, Index: t.index, Run: t.lastRun, Done: t.done, Fails: t.failures}
-	if len(t.checkpoint) <= t.step.job.maxCheckpoint {
+	if len(t.checkpoint) <= t.step.job.rows.MaxCheckpoint() {
 		s.Saved = t.checkpoint
 	}
 	for _, p := range t.placements {
@@ -22,7 +22,7 @@
 func (c *Core) loadJob(spec work.Job, stored Progress, version uint64) {
 	j := c.addJob(spec)
 	j.rowVersion = version
-	j.load(stored)
+	j.rows.Load(stored)
 	st := stored.State
 	j.past, j.failed, j.endedAt = st.Past, st.Failed, st.Ended
 	j.everStarted, j.startConfirmed = st.Started, st.Started
