--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -11,6 +11,7 @@
 	"lagoonrack/internal/recent"
 	"lagoonrack/internal/roster"
 	"lagoonrack/internal/setup"
+	"lagoonrack/internal/work"
 )
 
 // Status is the response to GET /v1/status.
@@ -104,3 +105,13 @@
 	Records []ledger.Record `json:"records,omitempty"`
 	Steps   []recent.Step   `json:"steps,omitempty"`
 }
+
+// Where is the body of POST /v1/where, which asks where a job of steps or a request would go now.
+// An entry answers about one of both. The response is a where.Answer.
+type Where struct {
+	Job work.Job `json:"job"`
+	// Service asks about a request of the service instead of a job.
+	Service string `json:"service,omitempty"`
+	// Most is the maximum number of candidates for each step.
+	Most int `json:"most"`
+}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -26,9 +26,12 @@
 
 	"lagoonrack/internal/advice"
 	"lagoonrack/internal/evac"
+	"lagoonrack/internal/freed"
 	"lagoonrack/internal/intake"
+	"lagoonrack/internal/keys"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
+	"lagoonrack/internal/timing"
 	"lagoonrack/internal/work"
 )
 
@@ -68,7 +71,7 @@
 	// A row that was stored before its turn stays in the list and counts as taken then.
 	dirtyRows []dirtyRow
 	// obsoleteRows holds the keys of state rows to delete.
-	obsoleteRows keyQueue
+	obsoleteRows keys.Queue
 	purger
 	// dirtyAdded counts the rows that were ever added to dirtyRows, and dirtyTaken those
 	// that were taken into a transaction.
@@ -99,13 +102,13 @@
 	// outbox lists the workers whose collected order is sent at the end of the
 	// step.
 	outbox       []*worker
-	runTimes     runTimes
+	runTimes     timing.Table
 	interference press.Table
 	learned      learned
 	// listCount numbers the lists of runs that were handled.
 	listCount uint64
 	// released records the runs that were released without a listed end.
-	released releasedRuns
+	released freed.Runs
 	// challengeCount is the number of challenges issued in this term.
 	challengeCount uint64
 	// admission decides, by service, whether long-running jobs are accepted, and
@@ -186,7 +189,7 @@
 		c.loadJob(j, stored.Progress[j.ID], stored.Versions[j.ID])
 	}
 	for _, key := range stored.Orphans {
-		c.obsoleteRows.add(key)
+		c.obsoleteRows.Add(key)
 	}
 	for _, id := range stored.Cancels {
 		c.cancel(id)
--- a/internal/sched/purge.go
+++ b/internal/sched/purge.go
@@ -134,8 +134,8 @@
 	delete(c.jobs, j.ID)
 	c.advice.DropJob(j.ID)
 	c.deleted[j.ID] = deletedJob{version: e.Version, at: c.now}
-	for _, key := range j.stateKeys() {
-		c.obsoleteRows.add(key)
+	for _, key := range j.rows.Keys(j.ID) {
+		c.obsoleteRows.Add(key)
 	}
 }
 
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -2,16 +2,12 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"lagoonrack/internal/work"
 )
 
-// sortedKeys returns the keys of a map in ascending order.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
-
 // handleReport updates the worker's state from an agent's report and answers it.
 func (c *Core) handleReport(e Report) {
 	if e.Worker.ID == "" {
@@ -30,7 +26,7 @@
 		c.emit(Reply{Token: e.Token, Reply: work.Reply{Term: c.term, Challenge: c.challengeFor(w, e.Word), Now: c.moment()}})
 		return
 	}
-	c.wallClock.add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
+	c.wallClock.Add(c.now, e.Agent, time.Duration(e.Unix)*time.Millisecond-c.now)
 	changed := !w.reported || w.Leaving != e.Worker.Leaving
 	w.Worker = e.Worker
 	w.lastReport = c.now
@@ -315,7 +311,7 @@
 			return
 		}
 		c.countWork(p)
-		c.runTimes.add(c.now, p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
+		c.runTimes.Add(c.now, p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
 	case work.Failed:
 		c.noteFailure(p, "failures")
 	}
@@ -391,7 +387,7 @@
 // releaseVanished releases a placement whose run is over without a reported end.
 func (c *Core) releaseVanished(p *placement, reason string) {
 	c.emit(Decision{Kind: "vanish", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: reason})
-	c.released.add(p, reason, c.now)
+	c.released.Add(c.now, p.worker.ID, p.id, reason)
 	if p.checkpoint != "" {
 		p.task.checkpoint = p.checkpoint
 	}
@@ -417,8 +413,8 @@
 // owner ordered the run whose transaction was not applied.
 func (c *Core) stopUnknownRun(w *worker, r work.Run) {
 	stray := Decision{Kind: "stray", Task: r.Task, Run: r.Num, Worker: w.ID}
-	if x, ok := c.released.find(w.ID, r); ok {
-		stray.Reason, stray.Took = x.reason, c.now-x.at
+	if reason, at, ok := c.released.Find(w.ID, r); ok {
+		stray.Reason, stray.Took = reason, c.now-at
 	}
 	c.emit(stray)
 	o := c.orderFor(w)
