intake: the reserve for other work may follow the observed demand

With fleet.overload the reserve follows the work that jobs bring in a second, at learned run times and averaged over 10 s, instead of the cores that running and waiting tasks ask for, and is at most 0.45. A new owner derives the demand from the stored jobs. Without the setting nothing changes.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,6 +22,10 @@
 // Controller is the admission controller of one service. The zero value has
 // observed no load and accepts every job.
 type Controller struct {
+	// FollowDemand says that the reserve follows Load.Demand instead of Load.Other, up to
+	// maxDemandReserve.
+	FollowDemand bool
+
 	load Load
 	// initialReserve is the share of the service that is reserved for other work
 	// that may come but was not observed yet. peakOther is the highest recent
@@ -47,6 +51,9 @@
 	// Capacity is the size of all workers, LongRunning what long-running jobs hold
 	// or wait for, and Other what all other running and waiting tasks ask for.
 	Capacity, LongRunning, Other int64
+	// Demand is the work, at learned run times, that other jobs have brought in a second:
+	// the processor time that they need if none of them is to wait.
+	Demand int64
 }
 
 const (
@@ -54,6 +61,11 @@
 	// other work. A reserve of a third let services complete more jobs of every
 	// kind than a quarter or none.
 	minReserve, maxReserve = 0.05, 0.32
+	// maxDemandReserve takes the place of maxReserve if the reserve follows the demand. In
+	// trials with two deployments at high load, 0.45 instead of 0.32 let 61 instead of 53 of
+	// 65, and 65 of 75 instead of 49 of 78, large best-effort jobs end within their objective,
+	// while long-running tasks were at work for about as long in total. 0.6 gave no more.
+	maxDemandReserve = 0.45
 	// halfLife is the time in which decaying values fall to half.
 	halfLife = 60 * time.Second
 	// assumedRuntime is the time in which the present long-running jobs are
@@ -68,17 +80,33 @@
 func (g *Controller) Observe(now time.Duration, l Load) {
 	if !g.observed && l.Capacity > 0 {
 		g.observed = true
-		g.initialReserve = maxReserve
+		g.initialReserve = g.maxReserve()
 		g.updated = now
 		g.load = l
 	}
 	left := decay(now - g.updated)
 	g.initialReserve *= left
-	g.peakOther = max(float64(l.Other), g.peakOther*left)
+	g.peakOther = max(float64(g.other(l)), g.peakOther*left)
 	g.freed = g.freed*left + float64(max(0, g.load.LongRunning-l.LongRunning))
 	g.load, g.updated = l, now
 }
 
+// other returns the demand of other work that the reserve follows.
+func (g *Controller) other(l Load) int64 {
+	if g.FollowDemand {
+		return l.Demand
+	}
+	return l.Other
+}
+
+// maxReserve returns the upper bound of the share that is reserved for other work.
+func (g *Controller) maxReserve() float64 {
+	if g.FollowDemand {
+		return maxDemandReserve
+	}
+	return maxReserve
+}
+
 // decay returns the factor by which decaying values fall in a duration.
 func decay(d time.Duration) float64 { return math.Exp2(-d.Seconds() / halfLife.Seconds()) }
 
@@ -86,7 +114,7 @@
 // of a core. It is negative if they hold part of the reserve.
 func (g *Controller) FreeCapacity() int64 {
 	size := float64(g.load.Capacity)
-	reserve := min(maxReserve*size, max(minReserve*size, g.initialReserve*size, g.peakOther))
+	reserve := min(g.maxReserve()*size, max(minReserve*size, g.initialReserve*size, g.peakOther))
 	return int64(size-reserve) - g.load.LongRunning
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -87,4 +87,30 @@
 		}
 		Expect(expectAdmit(g, now, 80, false)).To(BeNumerically("<", slow))
 	})
+
+	// The demand that tasks declare while they run and wait is several times the work that
+	// they bring: a short backlog took the reserve to its bound for minutes.
+	It("follows the work that arrives, if it is to, and not the tasks that wait", func() {
+		load := intake.Load{Capacity: 800 * cores, LongRunning: 400 * cores, Other: 2000 * cores, Demand: 100 * cores}
+		g := &intake.Controller{FollowDemand: true}
+		now := time.Duration(0)
+		for ; now <= 10*time.Minute; now += 100 * time.Millisecond {
+			g.Observe(now, load)
+		}
+		expectAdmit(g, now, 290, true)
+		expectAdmit(g, now, 310, false)
+	})
+	// With a reserve of at most 0.32, large best-effort jobs ended late on days of high load.
+	It("reserves up to 0.45 for the work that arrives", func() {
+		g := &intake.Controller{FollowDemand: true}
+		g.Observe(0, intake.Load{Capacity: 1000 * cores, Demand: 900 * cores})
+		expectAdmit(g, 0, 549, true)
+		expectAdmit(g, 0, 551, false)
+	})
+	It("reserves as much before the demand is known", func() {
+		g := &intake.Controller{FollowDemand: true}
+		g.Observe(0, intake.Load{Capacity: 1000 * cores})
+		expectAdmit(g, 0, 549, true)
+		expectAdmit(g, 0, 551, false)
+	})
 })
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -70,6 +70,7 @@
 	Lease    unit.Duration `yaml:"lease" doc:"How long a worker goes on without a renewal by its agent."`
 	Trust    unit.Duration `yaml:"trust" doc:"How long an agent renews without a word from the owner."`
 	Keep     unit.Duration `yaml:"keep" doc:"How long an ended job can be asked for."`
+	Overload bool          `yaml:"overload" doc:"Whether the admission of jobs follows the observed demand and rejects jobs that can't end in useful time."`
 }
 
 // Stand lists the minions and workers that a stand-in platform simulates.
--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoonrack/internal/intake"
+	"lagoonrack/internal/shed"
 	"lagoonrack/internal/work"
 )
 
@@ -62,6 +63,9 @@
 		} else {
 			l.Other += j.demand()
 		}
+		if c.limits.Overload && j.Times > 1 && j.Every > 0 {
+			l.Demand += int64(c.expectedDemand(&j.Job) * 1000 / float64(j.Every))
+		}
 		loads[j.Service] = l
 	}
 	for id, g := range c.admitted {
@@ -75,7 +79,10 @@
 	}
 	for s, l := range loads {
 		if c.admission[s] == nil {
-			c.admission[s] = &intake.Controller{}
+			c.admission[s] = &intake.Controller{FollowDemand: c.limits.Overload}
+		}
+		if g := c.gates[s]; g != nil {
+			l.Demand += int64(g.Demand(c.now))
 		}
 		c.admission[s].Observe(c.now, l)
 	}
@@ -94,6 +101,31 @@
 	return sum
 }
 
+// noteArrival records the work that a job brings, unless its tasks are long-running. That of
+// a timed job comes with each occurrence.
+func (c *Core) noteArrival(j *job) {
+	if !c.limits.Overload || j.isLongRunning() || j.Times > 1 {
+		return
+	}
+	g := c.gates[j.Service]
+	if g == nil {
+		g = &shed.Gate{}
+		c.gates[j.Service] = g
+	}
+	g.Arrive(j.acceptedAt, j.inForce.Priority, c.expectedDemand(&j.Job))
+}
+
+// expectedDemand returns the work of one occurrence of a job at learned run times, in
+// thousandths of a core times seconds.
+func (c *Core) expectedDemand(j *work.Job) float64 {
+	var sum float64
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		sum += float64(s.Count) * float64(s.Size.Cores) * c.runTimes.mean(j.Queue, s).Seconds()
+	}
+	return sum
+}
+
 // recordRejected remembers the row of a rejected job, to delete it later.
 func (c *Core) recordRejected(r RejectedJob) {
 	if c.jobs[r.ID] == nil && !c.isDeleted(r.ID, r.Version) {
--- a/internal/sched/admit_test.go
+++ b/internal/sched/admit_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -71,6 +72,47 @@
 	})
 })
 
+var _ = Describe("admission of a long-running job with overload control", func() {
+	limits := sched.Limits{Overload: true}
+	expectAdmission := func(s *testCell, coreCount int64, admitted bool) {
+		GinkgoHelper()
+		a := s.core.Admit(s.now, work.Job{ID: "next", Queue: "serve", Service: "s", Steps: []work.Step{latencyStep(1, coreCount)}})
+		Expect(a.Refused).To(Equal(!admitted))
+	}
+	// One waiting job that declares as many cores as the cell has took the reserve to its
+	// bound for minutes, however little work it brings.
+	It("reserves what arriving jobs need, not what they ask for at once", func() {
+		s := newLimitedCell(limits, testQueues, 100)
+		s.advance(5 * time.Minute)
+		short := bestEffortStep(12)
+		short.Estimate = 100
+		s.submit("plan", "fill", short)
+		s.advance(time.Second)
+		expectAdmission(s, 90, true)
+	})
+	It("reserves up to 0.45 for jobs that keep arriving", func() {
+		s := newLimitedCell(limits, testQueues, 100)
+		for i := range 40 {
+			s.submit(fmt.Sprint("plan", i), "fill", bestEffortStep(12))
+			s.advance(time.Second)
+		}
+		expectAdmission(s, 56, false)
+		expectAdmission(s, 54, true)
+	})
+	// A new owner knew no demand but that of the tasks that run and wait.
+	It("knows the demand after a takeover", func() {
+		s := newLimitedCell(limits, testQueues, 100)
+		s.advance(time.Minute)
+		var jobs []work.Job
+		for i := range 20 {
+			jobs = append(jobs, work.Job{ID: fmt.Sprint("plan", i), Queue: "fill", Service: "s", Steps: []work.Step{bestEffortStep(12)}, At: s.now.Milliseconds() - int64(500*i)})
+		}
+		s.replaceOwner(jobs...)
+		s.advance(70 * time.Second)
+		expectAdmission(s, 60, false)
+	})
+})
+
 var _ = Describe("the row of a rejected job", func() {
 	It("is deleted after the retention time, if its version is unchanged", func() {
 		s := newTestCell(testQueues, 16)
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -28,6 +28,7 @@
 	"lagoonrack/internal/intake"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
+	"lagoonrack/internal/shed"
 	"lagoonrack/internal/work"
 )
 
@@ -110,7 +111,9 @@
 	// admission decides, by service, whether long-running jobs are accepted, and
 	// rejected holds the rows of rejected jobs.
 	admission map[string]*intake.Controller
-	rejected  map[string]RejectedJob
+	// gates controls overload, by service, if Limits.Overload is set.
+	gates    map[string]*shed.Gate
+	rejected map[string]RejectedJob
 	// barred holds the jobs whose progress can't be read.
 	barred map[string]bool
 	// admitted holds long-running jobs that were admitted and whose rows have not
@@ -168,6 +171,7 @@
 		workerByAgent:  map[string]*worker{},
 		pendingCancels: map[string]bool{},
 		admission:      map[string]*intake.Controller{},
+		gates:          map[string]*shed.Gate{},
 		rejected:       map[string]RejectedJob{},
 		barred:         map[string]bool{},
 		purger:         purger{deleting: map[string]bool{}, deleted: map[string]deletedJob{}},
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -138,6 +138,7 @@
 		c.timed = append(c.timed, j)
 	}
 	c.updatePending(j)
+	c.noteArrival(j)
 	return j
 }
 
--- a/internal/sched/learn.go
+++ b/internal/sched/learn.go
@@ -80,6 +80,20 @@
 	return seconds(median), seconds(median * spread)
 }
 
+// highNormal is the 90% quantile of the standard normal distribution.
+const highNormal = 1.2816
+
+// mean returns the expected mean duration of the tasks of a step, which is above the usual
+// one: run times are taken to be log-normal.
+func (t *runTimes) mean(queue string, s *work.Step) time.Duration {
+	usual, long := t.estimate(queue, s)
+	if usual <= 0 {
+		return 0
+	}
+	sigma := math.Log(float64(max(usual, long))/float64(usual)) / highNormal
+	return time.Duration(float64(usual) * math.Exp(sigma*sigma/2))
+}
+
 // defaultSpread is the assumed ratio between the duration that one task in ten
 // exceeds and the declared one, until it has been learned.
 const defaultSpread = 1.8
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -19,6 +19,8 @@
 	// RowBytes bounds the value of a row, and TasksPerRow the tasks whose progress is in
 	// one row.
 	RowBytes, TasksPerRow int
+	// Overload turns on the control of overload by cost to callers (package shed).
+	Overload bool
 }
 
 const (
