sched: under overload, finish first what needs little more for its value

In the order of due times, all best-effort jobs that were started share the capacity once more work arrives than can be done, and nearly all end late. With fleet.overload, started and late jobs are ordered by the work that is left for their value, waiting ones by the time at which they have to start, and a job that could end in time only with more than half of the service counts as late.

Without the setting the order is as before.

--- a/internal/sched/admit.go
+++ b/internal/sched/admit.go
@@ -83,6 +83,7 @@
 		}
 		if g := c.gates[s]; g != nil {
 			l.Demand += int64(g.Demand(c.now))
+			g.Observe(shed.Load{Idle: float64(l.Capacity) - assumedUtilization*float64(l.LongRunning)})
 		}
 		c.admission[s].Observe(c.now, l)
 	}
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"lagoonrack/internal/shed"
+)
 
 // dueTime returns when an occurrence should have ended, by the owner's clock.
 func (c *Core) dueTime(o *occurrence) time.Duration {
@@ -115,7 +119,7 @@
 func (c *Core) updateRank(o *occurrence) {
 	o.priority = o.job.inForce.Priority
 	o.due = c.dueTime(o)
-	o.rank, o.slack = rankStarted, 0
+	o.rank, o.slack, o.order = rankStarted, 0, 0
 	if o.job.isLongRunning() {
 		return
 	}
@@ -130,7 +134,43 @@
 	case !o.everStarted:
 		o.rank = rankInTime
 	}
+	if c.limits.Overload {
+		c.rankByCost(o)
+	}
 }
 
+// rankByCost changes the rank of an occurrence and its order within the rank by what it costs
+// callers to delay it.
+func (c *Core) rankByCost(o *occurrence) {
+	g := c.gates[o.job.Service]
+	if g == nil {
+		return
+	}
+	left, total := c.workOf(o)
+	if o.rank < rankLate && !g.InTime(left, o.slack) {
+		o.rank = rankLate
+	}
+	if o.rank == rankInTime {
+		o.order = g.LatestStart(o.due, left).Seconds()
+		return
+	}
+	o.order = shed.RelativeCost(left, total)
+}
+
+// workOf returns the expected remaining and whole work of an occurrence, in thousandths of a
+// core times seconds.
+func (c *Core) workOf(o *occurrence) (left, total float64) {
+	for _, s := range o.steps {
+		perTask := c.runTimes.mean(o.job.Queue, s.Step).Seconds() * float64(s.Size.Cores)
+		total += perTask * float64(s.Count)
+		left += perTask * (float64(s.waiting) + runningShare*float64(s.unfinished-s.waiting))
+	}
+	return left, total
+}
+
+// runningShare is the part of the work of running tasks that is expected to be left: they
+// are halfway on average.
+const runningShare = 0.5
+
 // isLongRunning reports whether the job's tasks run until it is cancelled.
 func (j *job) isLongRunning() bool { return j.Steps[0].Lasts }
--- a/internal/sched/ranking.go
+++ b/internal/sched/ranking.go
@@ -67,12 +67,13 @@
 	return n, found
 }
 
-// compareRanks orders occurrences by the queue's priority, by rank, by due time and by
-// acceptance.
+// compareRanks orders occurrences by the queue's priority, by rank, by their order within the
+// rank, by due time and by acceptance.
 func compareRanks(a, b *occurrence) int {
 	return cmp.Or(
 		cmp.Compare(a.priority, b.priority),
 		cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.order, b.order),
 		cmp.Compare(a.due, b.due),
 		cmp.Compare(a.job.seq, b.job.seq),
 		cmp.Compare(a.number, b.number),
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -22,6 +22,9 @@
 	// slack is how much later than now the remaining work could begin and still end
 	// in time. It is negative if the occurrence will be late.
 	slack time.Duration
+	// order precedes due in the order of occurrences of the same rank. It is 0 unless
+	// Limits.Overload is set.
+	order float64
 	// lastReady is when a step last became ready to run.
 	lastReady time.Duration
 	// everStarted says that some task of the occurrence was placed at least once.
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -1,5 +1,6 @@
 // Package shed controls the overload of a service by what it costs callers. It measures the
-// demand of jobs as the work that they bring, at learned run times.
+// demand of jobs as the work that they bring, at learned run times, and orders the jobs of one
+// priority.
 package shed
 
 import (
@@ -14,8 +15,19 @@
 type Gate struct {
 	// arrivals measures the work that has arrived, by priority.
 	arrivals map[int]meter
+	load     Load
 }
 
+// Load is the capacity of a service, in thousandths of a core.
+type Load struct {
+	// Idle is what long-running jobs leave of the capacity of all workers at their expected
+	// use. It bounds the rate at which other work can be done.
+	Idle float64
+}
+
+// Observe records the load of the service.
+func (g *Gate) Observe(l Load) { g.load = l }
+
 // meter is an exponential average of work in a second.
 type meter struct {
 	rate float64
--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -54,3 +54,34 @@
 		Expect((&shed.Gate{}).Demand(time.Second)).To(BeZero())
 	})
 })
+
+var _ = Describe("the order of jobs of one priority", func() {
+	g := &shed.Gate{}
+	g.Observe(shed.Load{Idle: 100_000})
+
+	// A job with much work that starts as late as one with little ends late.
+	It("starts a large job before a small one that is due at the same time", func() {
+		Expect(g.LatestStart(time.Minute, 500_000)).To(BeNumerically("<", g.LatestStart(time.Minute, 50_000)))
+	})
+	// Jobs were started that could not end in time with all of the service's capacity.
+	It("takes a job for late that would need more than half of the service", func() {
+		Expect(g.InTime(500_000, 11*time.Second)).To(BeTrue())
+		Expect(g.InTime(500_000, 9*time.Second)).To(BeFalse())
+		Expect((&shed.Gate{}).InTime(500_000, 0)).To(BeTrue(), "the capacity is not known")
+	})
+	It("orders by due time while the capacity is not known", func() {
+		Expect((&shed.Gate{}).LatestStart(time.Minute, 500_000)).To(Equal(time.Minute))
+	})
+	// In the order of due times, all jobs that were started shared the capacity and ended late.
+	It("finishes first what needs little more", func() {
+		Expect(shed.RelativeCost(100, 1000)).To(BeNumerically("<", shed.RelativeCost(500, 1000)))
+	})
+	// Large jobs were served less than half as often as all.
+	It("prefers a large job to a small one with the same share left, but not to one that needs much less", func() {
+		Expect(shed.RelativeCost(5000, 10_000)).To(BeNumerically("<", shed.RelativeCost(500, 1000)))
+		Expect(shed.RelativeCost(9500, 10_000)).To(BeNumerically(">", shed.RelativeCost(500, 1000)))
+	})
+	It("puts jobs without work first", func() {
+		Expect(shed.RelativeCost(0, 0)).To(BeZero())
+	})
+})
