shed: reject at once a job that would certainly end too late

Any job that is not long-running was accepted however long the queue was, and a caller learned only by waiting that its job was worthless when it ended. With fleet.overload an entry asks the owner about every job, with the timeout and the fallback that long-running jobs have.

The row of a rejected job carries what its caller was told (when to retry, the job's size, its first submission). The next owner reads it, so that callers who are rejected later get later times. Earlier versions ignore the new fields, and without the setting rows and messages are as before.

--- a/internal/front/decline_test.go
+++ b/internal/front/decline_test.go
@@ -72,6 +72,24 @@
 		Expect(f.storeRejection(context.Background(), job, "full", time.Second).Status).To(Equal(Rejected))
 		Expect(store.Version()).To(Equal(uint64(1)))
 	})
+	// A new owner gave the time that its predecessor had promised to others again.
+	It("keeps what its caller was told, for the next owner", func() {
+		x := job
+		x.At = 7000
+		out := f.rejectByOwner(context.Background(), x, work.Admission{Refused: true, After: 3000, Submitted: 6000, Work: 50, Overload: work.Overload{Decided: true}})
+		Expect(out).To(Equal(Outcome{Status: Rejected, Reason: "overload", After: 3 * time.Second}))
+		row, err := sched.DecodeJob(store.Row(key), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(sched.NewRejectedJob(row, 1)).To(Equal(sched.RejectedJob{ID: x.ID, Version: 1, At: 7000, Queue: "q", Service: "s", Submitted: 6000, RetryAt: 10_000, Work: 50}))
+		Expect(state()).To(BeEmpty())
+	})
+	// Without the setting, the rows are as earlier versions wrote them.
+	It("keeps nothing if the owner doesn't ask for it", func() {
+		f.rejectByOwner(context.Background(), job, work.Admission{Refused: true, After: 3000})
+		row, err := sched.DecodeJob(store.Row(key), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row).To(Equal(work.Job{ID: job.ID, Queue: "q", Service: "s", Refused: true}))
+	})
 	It("replaces an earlier rejection, so that a delayed write over the earlier one can't take effect", func() {
 		Expect(f.storeRejection(context.Background(), job, "full", time.Second).Status).To(Equal(Rejected))
 		old := store.Row(key).Version
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -40,6 +40,8 @@
 	each(func(c sched.Census) float64 { return float64(c.Placed) }, "lagoon_tasks", "state", "placed")
 	each(func(c sched.Census) float64 { return float64(c.Waiting) }, "lagoon_tasks", "state", "waiting")
 	each(func(c sched.Census) float64 { return float64(c.Jobs) }, "lagoon_jobs_active")
+	each(func(c sched.Census) float64 { return c.Backlog }, "lagoon_overload_backlog_core_seconds")
+	each(func(c sched.Census) float64 { return c.Demand }, "lagoon_overload_demand_cores")
 	for _, r := range sched.HeldReasons() {
 		each(func(c sched.Census) float64 { return float64(c.Held[r]) }, "lagoon_tasks_held", "reason", r)
 	}
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -62,8 +62,15 @@
 	if err != nil {
 		return f.reject(j, "invalid", 0, err)
 	}
-	if a := f.admit(ctx, j); a.Refused {
-		return f.storeRejection(ctx, j, "full", time.Duration(a.After)*time.Millisecond)
+	a := f.admit(ctx, j)
+	if a.Refused {
+		return f.rejectByOwner(ctx, j, a)
+	}
+	if a.Submitted > 0 {
+		j.Submitted = a.Submitted
+		if j, writes, err = sched.EncodeJob(j, f.Limits); err != nil {
+			return f.reject(j, "invalid", 0, err)
+		}
 	}
 	if lag := f.ownerLag(); lag >= busyLag {
 		return f.storeRejection(ctx, j, "busy", busyRetryAfter(lag))
@@ -87,13 +94,17 @@
 	return out
 }
 
-// admit asks the owner whether a long-running job should be accepted; other jobs
-// always are. If the owner does not answer, the job is accepted: a rejection only
-// serves the other jobs and is never needed for correctness.
+// admit asks the owner whether a job should be accepted. Without overload control, only
+// long-running jobs may be rejected. If the owner does not answer, the job is accepted: a
+// rejection only serves the other jobs and is never needed for correctness.
 func (f *Front) admit(ctx context.Context, j work.Job) work.Admission {
-	if !j.LongRunning() {
+	if !j.LongRunning() && !f.Limits.Overload {
 		return work.Admission{}
 	}
+	if f.Limits.Overload {
+		// The owner doesn't need the specification, which may be most of the job.
+		j.Spec = ""
+	}
 	if a, err := f.leader.Admit(j); err == nil {
 		return a
 	}
@@ -112,6 +123,27 @@
 	return a
 }
 
+// rejectByOwner rejects a job as the owner has decided.
+func (f *Front) rejectByOwner(ctx context.Context, j work.Job, a work.Admission) Outcome {
+	after := time.Duration(a.After) * time.Millisecond
+	j.Submitted, j.Cores, j.Work = a.Submitted, a.Cores, a.Work
+	if a.Cores > 0 || a.Work > 0 {
+		j.RetryAt = j.At + a.After
+	}
+	if !a.Overload.Decided {
+		return f.storeRejection(ctx, j, "full", after)
+	}
+	out := f.storeRejection(ctx, j, "overload", after)
+	if out.Status == Rejected {
+		o := a.Overload
+		f.Log.Info(logs.Overloaded, logs.Fields{
+			"job": j.ID, "queue": j.Queue, "priority": o.Priority, "after": a.After, "waitMs": o.Wait, "spareMs": o.Spare, "chainMs": o.Chain,
+			"aheadCoreSeconds": o.Ahead / milliPerCore, "rateCores": o.Rate / milliPerCore, "workCoreSeconds": a.Work / milliPerCore,
+		})
+	}
+	return out
+}
+
 const (
 	// busyLag is how far behind the owner may be while jobs are still accepted. Beyond it
 	// a short job ends too late to be of use, and each further one delays those that wait.
@@ -146,7 +178,10 @@
 // write that would accept the job can't take effect any more. The status is Stored if
 // the job was accepted before.
 func (f *Front) storeRejection(ctx context.Context, j work.Job, reason string, after time.Duration) Outcome {
-	data, err := work.Encode(work.Job{ID: j.ID, Queue: j.Queue, Service: j.Service, At: j.At, Refused: true})
+	data, err := work.Encode(work.Job{
+		ID: j.ID, Queue: j.Queue, Service: j.Service, At: j.At, Refused: true,
+		Submitted: j.Submitted, RetryAt: j.RetryAt, Cores: j.Cores, Work: j.Work,
+	})
 	if err != nil {
 		return f.reject(j, "invalid", 0, err)
 	}
@@ -182,7 +217,7 @@
 	if work.Decode(row.Value, &x) != nil || x.Queue == j.Queue || !f.hasQueue(x.Queue) {
 		return false
 	}
-	x.Queue, x.Service, x.Terms, x.At = j.Queue, j.Service, j.Terms, j.At
+	x.Queue, x.Service, x.Terms, x.At, x.Submitted = j.Queue, j.Service, j.Terms, j.At, j.Submitted
 	_, own, err := sched.EncodeJob(j, f.Limits)
 	if err != nil {
 		return false
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -44,6 +44,8 @@
 type retry struct {
 	at    time.Duration
 	cores int64
+	// job is set if the promise is to be known to the next owner.
+	job string
 }
 
 // Load is the capacity and demand of a service, in thousandths of a core.
@@ -131,10 +133,33 @@
 		missing += p.cores
 	}
 	after := min(maxRetryAfter, max(minRetryAfter, time.Duration(float64(missing)/g.freeRate()*float64(time.Second))))
-	g.retries = append(g.retries, retry{now + after, need})
+	g.retries = append(g.retries, retry{at: now + after, cores: need})
 	return false, after
 }
 
+// AdmitJob is Admit for a job that may have been rejected before. That it was told when to
+// come again does not count against it.
+func (g *Controller) AdmitJob(now time.Duration, job string, need int64) (bool, time.Duration) {
+	g.forget(job)
+	ok, after := g.Admit(now, need)
+	if !ok {
+		g.retries[len(g.retries)-1].job = job
+	}
+	return ok, after
+}
+
+// Promise records when a job may be submitted again that this owner or an earlier one has
+// rejected.
+func (g *Controller) Promise(job string, at time.Duration, need int64) {
+	g.forget(job)
+	g.retries = append(g.retries, retry{at, need, job})
+}
+
+// forget removes the promise to a job.
+func (g *Controller) forget(job string) {
+	g.retries = slices.DeleteFunc(g.retries, func(p retry) bool { return p.job == job })
+}
+
 // freeRate returns the capacity that long-running jobs are expected to release
 // in a second: the higher of the assumed and the observed rate.
 func (g *Controller) freeRate() float64 {
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"lagoonrack/internal/clock"
@@ -40,8 +41,25 @@
 		return work.Admission{}, ErrNotOwner
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.core.Admit(l.Clock.Now(), j), nil
+	a := t.core.Admit(l.Clock.Now(), j)
+	t.mu.Unlock()
+	l.countOverload(a)
+	return a, nil
+}
+
+// countOverload counts a decision of overload control.
+func (l *Leader) countOverload(a work.Admission) {
+	if !a.Overload.Decided {
+		return
+	}
+	decision := "accept"
+	if a.Refused {
+		decision = "reject"
+	}
+	priority := strconv.Itoa(a.Overload.Priority)
+	l.Tally.Inc("lagoon_overload_decisions_total", "decision", decision, "priority", priority)
+	end := time.Duration(a.Overload.Wait+a.Overload.Chain) * time.Millisecond
+	l.Tally.Seconds(end.Seconds(), "lagoon_overload_end_seconds", "priority", priority)
 }
 
 // Cancel passes the cancellation of a job to the core. The row that records the
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -367,7 +367,7 @@
 	case err != nil:
 		l.skipRow(r.Key, err)
 	case j.Refused:
-		t.addWhenRoom(l.Clock.Now, sched.RejectedJob{ID: j.ID, Version: r.Version, At: j.At})
+		t.addWhenRoom(l.Clock.Now, sched.NewRejectedJob(j, r.Version))
 	default:
 		t.addWhenRoom(l.Clock.Now, sched.Submit{Job: j, Version: r.Version})
 	}
--- a/internal/leader/rows.go
+++ b/internal/leader/rows.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		if j.Refused {
-			found.Rejected = append(found.Rejected, sched.RejectedJob{ID: j.ID, Version: r.Version, At: j.At})
+			found.Rejected = append(found.Rejected, sched.NewRejectedJob(j, r.Version))
 			continue
 		}
 		found.Jobs = append(found.Jobs, j)
--- a/internal/sched/census.go
+++ b/internal/sched/census.go
@@ -18,17 +18,28 @@
 	Placed, Waiting int
 	// Jobs counts the jobs that are not finished.
 	Jobs int
+	// Backlog is the expected remaining work of all jobs that are not long-running, in
+	// core-seconds, and Demand the work that arrives in a second. Both are 0 without overload
+	// control.
+	Backlog, Demand float64
 	// Held counts, by reason, waiting tasks that are not placed although a worker has the
 	// capacity, among the first ones in the order of scheduling. It is nil if there are none.
 	Held map[string]int
 }
 
+// coreMillis converts thousandths of a core to cores.
+const coreMillis = 1000
+
 // Census counts the workers, tasks and jobs that the owner knows now.
 func (c *Core) Census() Census {
 	var out Census
 	if len(c.held) > 0 {
 		out.Held = maps.Clone(c.held)
 	}
+	for _, g := range c.gates {
+		out.Backlog += g.Backlog() / coreMillis
+		out.Demand += g.Demand(c.now) / coreMillis
+	}
 	for _, w := range c.workers {
 		if w.reported && !w.gone && c.workerByAgent[w.agent] == w {
 			c.countWorker(w, &out)
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -119,6 +119,8 @@
 	// checkEachEvent compares the owner's indexes with a recount after each event and
 	// not only after each tick.
 	checkEachEvent bool
+	// overload is Limits.Overload of the owners.
+	overload bool
 	// rows are the rows of the store, and currentTerm is the term of the cell's owner.
 	// versions holds the versions of the rows, and version is the newest one.
 	rows        map[string][]byte
@@ -166,7 +168,7 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), rows: map[string][]byte{}, versions: map[string]uint64{}, finished: map[string]bool{}, jobs: map[string]work.Job{},
 		tasks: map[string]*history{}, cancelledAt: map[string]time.Duration{}, pendingReplies: map[uint64]func(work.Reply){},
-		checkEachEvent: seed < sequences, speculative: v.speculative,
+		checkEachEvent: seed < sequences, overload: seed%2 == 1, speculative: v.speculative,
 	}
 	if v.queues {
 		w.queues = newQueues(seed)
@@ -277,7 +279,7 @@
 		}
 	}
 	slices.Sort(stored.Orphans)
-	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow}
+	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow, Overload: w.overload}
 	o := &owner{core: sched.New(l, w.currentTerm, w.now, 0, stored, w.config()), term: w.currentTerm, lastStates: map[string]string{}}
 	w.owners = append(w.owners, o)
 	w.logf("owner %d", o.term)
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -24,6 +24,15 @@
 	// the store's clock.
 	Version uint64
 	At      int64
+	// The others are the fields of work.Job. The numbers are 0 unless the job was rejected with
+	// Limits.Overload set.
+	Service, Queue                  string
+	Submitted, RetryAt, Cores, Work int64
+}
+
+// NewRejectedJob returns the event for the row of a rejected job with the given version.
+func NewRejectedJob(j work.Job, version uint64) RejectedJob {
+	return RejectedJob{ID: j.ID, Version: version, At: j.At, Service: j.Service, Queue: j.Queue, Submitted: j.Submitted, RetryAt: j.RetryAt, Cores: j.Cores, Work: j.Work}
 }
 
 // Cancel reports that the cancellation of a job is stored.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -41,7 +41,8 @@
 	// is always stored already.
 	visibleState string
 	progressRows
-	// acceptedAt is when the job was accepted, by the owner's clock.
+	// acceptedAt is when the job was accepted, by the owner's clock. With Limits.Overload set, it
+	// is when the job was first submitted.
 	acceptedAt time.Duration
 	// seq numbers the jobs in the order in which the owner learned of them.
 	seq int
@@ -129,7 +130,10 @@
 // addJob adds a job to the owner's tables.
 func (c *Core) addJob(spec work.Job) *job {
 	c.jobCount++
-	j := &job{Job: spec, visibleState: "queued", acceptedAt: c.acceptanceTime(spec), seq: c.jobCount}
+	j := &job{Job: spec, visibleState: "queued", acceptedAt: c.acceptanceTime(spec.At), seq: c.jobCount}
+	if c.limits.Overload && spec.Submitted > 0 {
+		j.acceptedAt = min(j.acceptedAt, c.acceptanceTime(spec.Submitted))
+	}
 	j.progressRows = newProgressRows(&j.Job, c.limits)
 	c.updateTerms(j)
 	c.jobs[j.ID] = j
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -8,12 +8,17 @@
 
 // dueTime returns when an occurrence should have ended, by the owner's clock.
 func (c *Core) dueTime(o *occurrence) time.Duration {
-	terms := &o.job.inForce
-	stretch := terms.Stretch
+	return c.startTime(o) + o.job.allowedDuration(c.expectedChain(o))
+}
+
+// allowedDuration returns how long an occurrence may take whose longest chain of steps takes
+// the given time.
+func (j *job) allowedDuration(chain time.Duration) time.Duration {
+	stretch := j.inForce.Stretch
 	if stretch <= 0 {
 		stretch = 1
 	}
-	return c.startTime(o) + time.Duration(stretch*float64(c.expectedChain(o))) + time.Duration(terms.Target)*time.Millisecond
+	return time.Duration(stretch*float64(chain)) + time.Duration(j.inForce.Target)*time.Millisecond
 }
 
 // startTime returns the time from which the duration of an occurrence is measured,
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -721,8 +721,17 @@
 	}
 }
 
-func rejectedRow(j work.Job, _ work.Admission, version uint64) sched.RejectedJob {
-	return sched.RejectedJob{ID: j.ID, Version: version, At: j.At}
+// rejectedRow returns the event for the row that an entry stores for a rejected job.
+func rejectedRow(j work.Job, a work.Admission, version uint64) sched.RejectedJob {
+	j.Refused, j.Submitted, j.Cores, j.Work = true, a.Submitted, a.Cores, a.Work
+	if a.Cores > 0 || a.Work > 0 {
+		j.RetryAt = j.At + a.After
+	}
+	return sched.NewRejectedJob(j, version)
 }
 
-func acceptedRow(j work.Job, _ work.Admission) work.Job { return j }
+// acceptedRow returns the job that an entry stores for an accepted job.
+func acceptedRow(j work.Job, a work.Admission) work.Job {
+	j.Submitted = a.Submitted
+	return j
+}
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -67,11 +67,17 @@
 	}
 }
 
-// acceptanceTime returns when a job was accepted, by the owner's clock.
-func (c *Core) acceptanceTime(spec work.Job) time.Duration {
-	at := time.Duration(spec.At)*time.Millisecond - c.storeOffset
-	if spec.At == 0 || at > c.now {
+// acceptanceTime returns when a job was accepted, by the owner's clock, given the time in
+// milliseconds of the store's clock.
+func (c *Core) acceptanceTime(millis int64) time.Duration {
+	at := c.ownerTime(millis)
+	if millis == 0 || at > c.now {
 		return c.now
 	}
 	return at
 }
+
+// ownerTime converts milliseconds of the store's clock to a time of the owner's clock.
+func (c *Core) ownerTime(millis int64) time.Duration {
+	return time.Duration(millis)*time.Millisecond - c.storeOffset
+}
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -1,6 +1,6 @@
 // Package shed controls the overload of a service by what it costs callers. It measures the
-// demand of jobs as the work that they bring, at learned run times, and orders the jobs of one
-// priority.
+// demand of jobs as the work that they bring, at learned run times, orders the jobs of one
+// priority, and decides whether a job is accepted.
 package shed
 
 import (
@@ -16,13 +16,21 @@
 	// arrivals measures the work that has arrived, by priority.
 	arrivals map[int]meter
 	load     Load
+	// refusing holds the priorities of which the last job was rejected.
+	refusing map[int]bool
+	// promises holds, by job, what rejected callers were told.
+	promises map[string]Promise
 }
 
-// Load is the capacity of a service, in thousandths of a core.
+// Load is the capacity of a service, in thousandths of a core, and its backlog.
 type Load struct {
-	// Idle is what long-running jobs leave of the capacity of all workers at their expected
-	// use. It bounds the rate at which other work can be done.
-	Idle float64
+	// Capacity is the size of all workers that can be used.
+	Capacity float64
+	// Idle is what long-running jobs leave of the capacity at their expected use, and Free what
+	// they do not reserve. They bound the rates at which other work can be done.
+	Idle, Free float64
+	// Backlog is the remaining work of all jobs that are not long-running.
+	Backlog []Backlog
 }
 
 // Observe records the load of the service.
@@ -66,9 +74,25 @@
 // Demand returns the work that jobs of all priorities bring in a second, in thousandths of a
 // core.
 func (g *Gate) Demand(now time.Duration) float64 {
+	return g.demand(now, func(int) bool { return true })
+}
+
+// demand returns the work that jobs of the given priorities bring in a second.
+func (g *Gate) demand(now time.Duration, includes func(priority int) bool) float64 {
+	var sum float64
+	for p, m := range g.arrivals {
+		if includes(p) {
+			sum += m.rate * decay(max(0, now-m.at))
+		}
+	}
+	return sum
+}
+
+// Backlog returns the remaining work of all jobs as last observed.
+func (g *Gate) Backlog() float64 {
 	var sum float64
-	for _, m := range g.arrivals {
-		sum += m.rate * decay(max(0, now-m.at))
+	for _, b := range g.load.Backlog {
+		sum += b.Work
 	}
 	return sum
 }
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -243,6 +243,32 @@
 	// milliseconds later.
 	Refused bool  `cbor:"1,keyasint"`
 	After   int64 `cbor:"2,keyasint"`
+	// Submitted is when the job was first submitted, if it was rejected then, in milliseconds of
+	// the store's clock.
+	Submitted int64 `cbor:"3,keyasint,omitempty"`
+	// Cores is the capacity that a rejected long-running job needs, in thousandths of a core, and
+	// Work the work of another rejected job, in thousandths of a core times seconds. One of them
+	// is set if the next owner is to know of the rejection.
+	Cores int64 `cbor:"4,keyasint,omitempty"`
+	Work  int64 `cbor:"5,keyasint,omitempty"`
+	// Overload holds the inputs of the decision on a job that is not long-running.
+	Overload Overload `cbor:"6,keyasint,omitempty"`
+}
+
+// Overload holds the inputs of a decision by overload control. It is zero if there was none.
+type Overload struct {
+	// Decided says that overload control decided, and Priority is that of the job.
+	Decided  bool `cbor:"1,keyasint,omitempty"`
+	Priority int  `cbor:"2,keyasint,omitempty"`
+	// Wait is how long the job would wait for the backlog Ahead of it, Spare how long it may
+	// wait, and Chain how long it then takes, in milliseconds.
+	Wait  int64 `cbor:"3,keyasint,omitempty"`
+	Spare int64 `cbor:"4,keyasint,omitempty"`
+	Chain int64 `cbor:"5,keyasint,omitempty"`
+	// Ahead is in thousandths of a core times seconds, and Rate, at which it is done, in
+	// thousandths of a core.
+	Ahead int64 `cbor:"6,keyasint,omitempty"`
+	Rate  int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Interference is how much a best-effort image (Fill) slows a latency-critical one
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -42,6 +42,14 @@
 	// Terms are those of the queue at the time of acceptance. They are zero in a job that
 	// an earlier version accepted.
 	Terms Terms `cbor:"12,keyasint,omitempty"`
+	// Submitted is when the job was first submitted, if it was rejected then, in milliseconds of
+	// the store's clock. Its duration is measured from there.
+	Submitted int64 `cbor:"13,keyasint,omitempty"`
+	// RetryAt is when a rejected job may be submitted again, in milliseconds of the store's
+	// clock. Cores and Work are what it needs then: see Admission.
+	RetryAt int64 `cbor:"14,keyasint,omitempty"`
+	Cores   int64 `cbor:"15,keyasint,omitempty"`
+	Work    int64 `cbor:"16,keyasint,omitempty"`
 }
 
 // LongRunning reports whether the job's tasks run until the job is cancelled.
