front, shed: don't ask an owner that is behind; bound the promises

An entry that is about to reject a job as busy asked the owner about it first, and a rejection looked at as many promises as jobs were rejected in a minute. Both cost the owner most when it has least time.

--- a/internal/front/busy_test.go
+++ b/internal/front/busy_test.go
@@ -41,6 +41,13 @@
 		behind(time.Minute, 0)
 		Expect(f.Submit(context.Background(), job).After).To(Equal(maxBusyRetryAfter))
 	})
+	// Entries asked an owner that was behind about jobs that they were about to reject.
+	It("is rejected without asking the owner, with overload control too", func() {
+		f.Limits.Overload = true
+		behind(3*time.Second, 0)
+		Expect(f.admit(context.Background(), job)).To(Equal(work.Admission{}))
+		Expect(f.Submit(context.Background(), job)).To(Equal(Outcome{Status: Rejected, Reason: "busy", After: 6 * time.Second}))
+	})
 	It("is accepted while the lag is short, or was told long ago", func() {
 		behind(time.Second, 0)
 		Expect(f.Submit(context.Background(), job).Status).To(Equal(Stored))
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -104,6 +104,10 @@
 	if f.Limits.Overload {
 		// The owner doesn't need the specification, which may be most of the job.
 		j.Spec = ""
+		if !j.LongRunning() && f.ownerLag() >= busyLag {
+			// The job is rejected as busy, and the owner has no time to answer.
+			return work.Admission{}
+		}
 	}
 	if a, err := f.leader.Admit(j); err == nil {
 		return a
--- a/internal/shed/admit.go
+++ b/internal/shed/admit.go
@@ -57,6 +57,9 @@
 	// maxRetryAfter the longest: callers retry up to four times, and a burst or the loss of
 	// workers is over within minutes.
 	minRetryAfter, maxRetryAfter = 2 * time.Second, time.Minute
+	// maxPromises bounds the cost of a rejection. With more promises than are made in a minute
+	// at 68 rejections a second, the retry time is at its upper bound anyway.
+	maxPromises = 4096
 )
 
 // Admit decides whether a job is accepted. It is rejected only if it would certainly end too
@@ -121,7 +124,7 @@
 			delete(g.promises, id)
 		}
 	}
-	if p.At <= now {
+	if p.At <= now || len(g.promises) >= maxPromises {
 		return
 	}
 	if g.promises == nil {
@@ -130,6 +133,9 @@
 	g.promises[job] = p
 }
 
+// Promises returns the number of promises that are kept.
+func (g *Gate) Promises() int { return len(g.promises) }
+
 // Accepted adds an accepted job to the backlog until the next call of Observe.
 func (g *Gate) Accepted(job string, b Backlog) {
 	delete(g.promises, job)
--- a/internal/shed/shed_test.go
+++ b/internal/shed/shed_test.go
@@ -1,6 +1,7 @@
 package shed_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -183,6 +184,16 @@
 		x.Limit = 0
 		Expect(loaded(2, 470).Admit(minute, x).After).To(Equal(2 * time.Second))
 	})
+	// Each rejection looks at all promises, which were as many as the jobs rejected in a minute.
+	It("keeps a bounded number of promises", func() {
+		g := loaded(2, 0)
+		for i := range 10_000 {
+			g.Promise(minute, fmt.Sprint(i), shed.Promise{At: 2 * minute, Priority: 2, Work: 1})
+		}
+		Expect(g.Promises()).To(Equal(4096))
+		g.Promise(3*minute, "x", shed.Promise{At: 4 * minute})
+		Expect(g.Promises()).To(Equal(1), "those that are over are dropped")
+	})
 	It("counts jobs that were accepted since the load was observed", func() {
 		g := loaded(2, 0)
 		g.Accepted("x", shed.Backlog{Priority: 2, Due: minute, Work: 4000_000})
