--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -72,6 +72,7 @@
 	Keep     unit.Duration `yaml:"keep" doc:"How long an ended job can be asked for."`
 
 	Evacuation unit.Duration `yaml:"evacuation" doc:"Time after the operator evacuated a zone from which on an entry starts nothing there, whatever fails; below 3 s it holds only while the store answers. Unset, evacuations are not read."`
+	Overload   bool          `yaml:"overload" doc:"Whether the admission of jobs follows the observed demand and rejects jobs that can't end in useful time."`
 }
 
 // Stand lists the minions and workers that a stand-in platform simulates.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -43,7 +43,8 @@
 	visibleState string
 	// rows holds which rows of the progress are stored and which have to be.
 	rows states.Rows
-	// acceptedAt is when the job was accepted, by the owner's clock.
+	// acceptedAt is when the job was accepted, by the owner's clock. With Limits.Overload set, it
+	// is when the job was first submitted.
 	acceptedAt time.Duration
 	// seq numbers the jobs in the order in which the owner learned of them.
 	seq int
@@ -131,7 +132,10 @@
 // addJob adds a job to the owner's tables.
 func (c *Core) addJob(spec work.Job) *job {
 	c.jobCount++
-	j := &job{Job: spec, visibleState: "queued", acceptedAt: c.acceptanceTime(spec), seq: c.jobCount}
+	j := &job{Job: spec, visibleState: "queued", acceptedAt: c.acceptanceTime(spec.At), seq: c.jobCount}
+	if c.limits.Overload && spec.Submitted > 0 {
+		j.acceptedAt = min(j.acceptedAt, c.acceptanceTime(spec.Submitted))
+	}
 	j.rows = states.New(&j.Job, c.limits.TasksPerRow, c.limits.rowBytes())
 	c.updateTerms(j)
 	c.jobs[j.ID] = j
@@ -140,6 +144,7 @@
 		c.timed = append(c.timed, j)
 	}
 	c.updatePending(j)
+	c.noteArrival(j)
 	return j
 }
 
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -81,6 +81,20 @@
 	return seconds(median), seconds(median * spread)
 }
 
+// highNormal is the 90% quantile of the standard normal distribution.
+const highNormal = 1.2816
+
+// Mean returns the expected mean duration of the tasks of a step, which is above the usual
+// one: run times are taken to be log-normal.
+func (t *Table) Mean(queue string, s *work.Step) time.Duration {
+	usual, long := t.Estimate(queue, s)
+	if usual <= 0 {
+		return 0
+	}
+	sigma := math.Log(float64(max(usual, long))/float64(usual)) / highNormal
+	return time.Duration(float64(usual) * math.Exp(sigma*sigma/2))
+}
+
 // defaultSpread is the assumed ratio between the duration that one task in ten
 // exceeds and the declared one, until it has been learned.
 const defaultSpread = 1.8
@@ -105,6 +119,9 @@
 	return v, ok
 }
 
+// Known reports whether run times of a queue have been learned.
+func (t *Table) Known(queue string) bool { return t.queues[queue].Duration.Known() }
+
 // Changed returns, in order, the queues whose run times have changed or were forgotten since the
 // last call.
 func (t *Table) Changed() []string {
