sched, where: explanations know evacuated zones and overload control

A worker of an evacuated zone was named as one that fits, and the view on the core shared its overload control, so that a question would have recorded promises. Tests: a core with overload control is unchanged by questions, an evacuated zone is named, a rejection for overload is told with its retry time.

--- a/internal/sched/where.go
+++ b/internal/sched/where.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagoonrack/internal/intake"
+	"lagoonrack/internal/shed"
 	"lagoonrack/internal/where"
 	"lagoonrack/internal/work"
 )
@@ -32,6 +33,7 @@
 		return !o.reported || o.unresponsive || c.now-o.lastReport >= reportTimeout
 	}},
 	{"leaving", func(_ *Core, _ *task, o *option) bool { return o.Leaving }},
+	{heldZone, func(c *Core, _ *task, o *option) bool { return !c.zoneOpen(o.worker) }},
 	{"blocked", func(c *Core, _ *task, o *option) bool { return c.now < o.blockedUntil }},
 	{heldLabel, func(_ *Core, t *task, o *option) bool { return !o.hasLabel(t.step.Needs) }},
 	{"capacity", func(_ *Core, t *task, o *option) bool { return !t.step.Reserved().Fits(o.free()) }},
@@ -84,6 +86,9 @@
 	if known == nil {
 		if out := v.Admit(v.now, j); out.Refused {
 			a.Rejected, a.RetryAfter = "full", out.After
+			if out.Overload.Decided {
+				a.Rejected = "overload"
+			}
 		}
 		known = v.asIfSubmitted(j)
 	} else if a.State = known.visibleState; known.finished() {
@@ -124,6 +129,10 @@
 	for s, g := range c.admission {
 		v.admission[s] = g.Clone()
 	}
+	v.gates = make(map[string]*shed.Gate, len(c.gates))
+	for s, g := range c.gates {
+		v.gates[s] = g.Clone()
+	}
 	return &v
 }
 
--- a/internal/sched/where_test.go
+++ b/internal/sched/where_test.go
@@ -15,6 +15,7 @@
 
 	"lagoonrack/internal/sched"
 	"lagoonrack/internal/vect"
+	"lagoonrack/internal/where"
 	"lagoonrack/internal/work"
 )
 
@@ -95,8 +96,8 @@
 	queues := append([]work.Queue{advised}, testQueues...)
 	// busyCell returns a cell with long-running and best-effort tasks, an advised job, a job
 	// that waits, a suspect worker, one that drains, and a service that rejects long-running jobs.
-	busyCell := func() *testCell {
-		s := newTestCell(queues, 16, 16, 16, 32, 32, 64)
+	busyCellWith := func(limits sched.Limits) *testCell {
+		s := newLimitedCell(limits, queues, 16, 16, 16, 32, 32, 64)
 		s.submit("web", "serve", latencyStep(6, 8))
 		s.submit("plan", "fill", bestEffortStep(4))
 		s.submit("asked", "advised", shortStep(2, false))
@@ -117,6 +118,7 @@
 		s.advance(3 * time.Second)
 		return s
 	}
+	busyCell := func() *testCell { return busyCellWith(sched.Limits{}) }
 	// jobs are new jobs of each kind, and some that the busy cell knows.
 	jobs := func() []work.Job {
 		gang := work.Step{Count: 9, Size: vect.Size{Cores: 14 * cores, Memory: 10}, Gang: true, Tight: true}
@@ -149,6 +151,18 @@
 		}
 		expectUnchanged(s.core, func() {})
 	})
+	// Overload control keeps promises to rejected callers, which a question must not add to.
+	It("changes nothing in a core with overload control", func() {
+		s := busyCellWith(sched.Limits{Overload: true})
+		for i := range 60 {
+			s.submit(fmt.Sprint("ahead", i), "short", work.Step{Count: 40, Size: vect.Size{Cores: 14 * cores, Memory: 10}, Estimate: 500})
+		}
+		s.submit("learned", "short", shortStep(1, false))
+		s.advance(3 * time.Second)
+		for _, j := range jobs() {
+			expectUnchanged(s.core, func() { s.core.Where(s.now, j, most) })
+		}
+	})
 	It("is noticed by the comparison if it changes something", func() {
 		s := busyCell()
 		before := dump(s.core)
@@ -205,6 +219,35 @@
 		s.workers = workers
 		expectExcluded(s, newJob("new", "short", shortStep(1, false)), "silent", 2)
 	})
+	It("says that a job would be rejected for overload", func() {
+		limits := sched.Limits{Overload: true}
+		s := newLimitedCell(limits, testQueues, 4)
+		s.advance(3 * time.Second)
+		step := work.Step{Count: 8, Size: vect.Size{Cores: cores, Memory: 10}, Estimate: 1000}
+		s.submit("first", "short", step)
+		for s.core.State("first") != "completed" {
+			s.advance(time.Second)
+			for r := range s.workers[0].runs {
+				s.endRun(s.workers[0], r, work.Done)
+			}
+		}
+		for i := range 40 {
+			s.submit(fmt.Sprint("waiting", i), "short", step)
+		}
+		s.advance(tickInterval)
+		next := newJob("next", "short", step)
+		var a where.Answer
+		expectUnchanged(s.core, func() { a = s.core.Where(s.now, next, most) })
+		Expect(a.Rejected).To(Equal("overload"))
+		Expect(a.RetryAfter).To(Equal(s.core.Admit(s.now, next).After))
+	})
+	It("names an evacuated zone", func() {
+		s := newZonedCell(16, 16, 16)
+		s.evacuate("z0", "z2")
+		a := s.core.Where(s.now, newJob("new", "short", shortStep(1, false)), most)
+		Expect(a.Steps[0].Excluded).To(HaveKeyWithValue("zone", 2))
+		Expect(a.Steps[0].Fitting).To(Equal(1))
+	})
 	It("names what keeps best-effort tasks off a worker", func() {
 		s := newTestCell(queues, 16)
 		s.submit("web", "serve", latencyStep(1, 14))
--- a/internal/shed/shed.go
+++ b/internal/shed/shed.go
@@ -4,6 +4,7 @@
 package shed
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -36,6 +37,14 @@
 // Observe records the load of the service.
 func (g *Gate) Observe(l Load) { g.load = l }
 
+// Clone returns a copy on which Observe, Admit and Promise do not change g.
+func (g *Gate) Clone() *Gate {
+	c := *g
+	c.refusing, c.promises = maps.Clone(g.refusing), maps.Clone(g.promises)
+	c.arrivals = maps.Clone(g.arrivals)
+	return &c
+}
+
 // meter is an exponential average of work in a second.
 type meter struct {
 	rate float64
