--- a/internal/sched/evacuation_test.go
+++ b/internal/sched/evacuation_test.go
@@ -175,6 +175,21 @@
 		Expect(s.startsOrdered()[first]).To(BeZero())
 		Expect(s.tasksPerWorker("a")[1-first]).To(Equal(1))
 	})
+	// Seed 7 of TestChaosEvacuations: the rows name only the worker and not its zone.
+	It("orders nothing on a worker that has not reported to it", func() {
+		s := newZonedCell(8)
+		s.ordersLost = true
+		s.submit("a", "short", shortStep(1, false))
+		s.zoneTick(tickInterval)
+		s.orders = nil
+		s.replaceOwner(work.Job{ID: "a", Queue: "short", Service: "s", Spec: "x", Steps: []work.Step{shortStep(1, false)}})
+		for range 30 {
+			s.now += tickInterval
+			s.evacuate("z0")
+			s.step(sched.Tick{})
+		}
+		Expect(s.startsOrdered()).To(Equal([]int{0}))
+	})
 	It("starts no copy of a straggler in an evacuated zone", func() {
 		s := newZonedCell(8, 8)
 		step := shortStep(1, false)
