sched: evaluate cold workers only

The penalty is not computed for workers that are not cold, and the age of the zones is checked before the list.

--- a/internal/sched/evacuation.go
+++ b/internal/sched/evacuation.go
@@ -15,7 +15,7 @@
 // zoneOpen reports whether runs may be started on a worker as far as its zone is concerned. The
 // zone of a worker is not known before its first report to this owner.
 func (c *Core) zoneOpen(w *worker) bool {
-	return c.limits.Evacuation <= 0 || w.reported && !c.zones.Closed(w.Zone) && c.zones.Recent(c.now, evac.MaxAge(c.limits.Evacuation))
+	return c.limits.Evacuation <= 0 || w.reported && c.zones.Recent(c.now, evac.MaxAge(c.limits.Evacuation)) && !c.zones.Closed(w.Zone)
 }
 
 // setZones records which zones are evacuated and withdraws the starts there that were decided
--- a/internal/sched/shortlist.go
+++ b/internal/sched/shortlist.go
@@ -63,7 +63,9 @@
 	if s.Near != "" && w.hasLabel(s.Near) {
 		o.base += preferredWeight
 	}
-	o.base -= c.coldPenalty(s, w)
+	if w.Cold > 0 {
+		o.base -= c.coldPenalty(s, w)
+	}
 	o.spread = spreadWeight * float64(s.countOn(w))
 	o.scored = true
 }
