--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -18,6 +18,7 @@
 // The first port of the range of each test package. Each range has 3,000 ports or
 // more.
 const (
+	Hostile  = 17_000
 	Scene    = 20_000
 	Platform = 23_000
 	Soak     = 26_000
