httpd: bound what clients hold before their requests are whole

The HTTP library bounds the size of one body and nothing else. Clients that stop just short of the end of a request, or send a head without end, took any amount of memory.

All HTTP listeners of a process now pass a gate. It collects each request itself, stores a chunked body without its framing, and gives the library whole requests only. Package inflow decides without I/O: a budget of memory for the requests of all connections, of which the request that has held the most for the longest is refused first; a limit of connections for each listener, at which the oldest without a whole request is closed first; time limits for a head, a body, an idle connection and an answer that is not read; and a minimum rate of a body. The clock counts no more than half a second for one tick, and a client whose bytes wait to be read is not cut, so a pause of the process counts against no client. A whole request is never refused. A request that arrived in part is refused with 503, 408, 413, 431 or 400, or its connection is closed: the library never gets it. After a crowd has left, memory is returned to the system. Failed accepts, for lack of descriptors for example, no longer end a listener.

New settings under inflow, metrics lagoon_inflow_*, event 115, at most one line per reason in 10 s. Header lines that continue on the next line, and requests with both a length and a transfer coding, are rejected with 400. Forms are no longer parsed ahead, which could write their files to a disk.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -144,7 +144,7 @@
 	if a.peer, err = rpcs.Listen(a.proc.Peer, map[string]any{agentService: &Peer{agent: a}}); err != nil {
 		return err
 	}
-	if a.operator, err = httpd.Listen(a.proc.Operator, 1<<20); err != nil {
+	if a.operator, err = httpd.NewGate(a.proc.Inflow, a.log, &a.tally).Listen(a.proc.Operator, 1<<20); err != nil {
 		a.peer.Close()
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -133,11 +133,12 @@
 	if e.peer, err = rpcs.Listen(e.proc.Peer, map[string]any{peerName: &Peer{entry: e}}); err != nil {
 		return err
 	}
-	if e.caller, err = httpd.Listen(e.proc.Caller, bodyLimit); err != nil {
+	gate := httpd.NewGate(e.proc.Inflow, e.log, &e.tally)
+	if e.caller, err = gate.ListenClients(e.proc.Caller, bodyLimit); err != nil {
 		e.peer.Close()
 		return err
 	}
-	if e.operator, err = httpd.Listen(e.proc.Operator, bodyLimit); err != nil {
+	if e.operator, err = gate.Listen(e.proc.Operator, bodyLimit); err != nil {
 		e.peer.Close()
 		return err
 	}
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -19,6 +19,9 @@
 
 	"lagoonrack/internal/fault"
 	"lagoonrack/internal/guard"
+	"lagoonrack/internal/inflow"
+	"lagoonrack/internal/logs"
+	"lagoonrack/internal/proc"
 	"lagoonrack/internal/tally"
 )
 
@@ -32,7 +35,8 @@
 	stopped chan struct{}
 }
 
-// idleTimeout is how long a connection without requests is kept open.
+// idleTimeout is set, because the library does not keep connections open without one. The gate
+// closes idle connections.
 const idleTimeout = 2 * time.Minute
 
 var silenceOnce sync.Once
@@ -43,17 +47,37 @@
 func SilenceLibraryLog() { silenceOnce.Do(func() { hlog.SetLevel(hlog.LevelFatal) }) }
 
 // Listen returns a server that listens on an address and rejects bodies of more
-// than limit bytes.
+// than limit bytes. It has a gate of its own with the default limits.
 func Listen(addr string, limit int) (*Server, error) {
+	return NewGate(proc.Inflow{}, logs.Log{}, nil).ListenClients(addr, limit)
+}
+
+// ListenClients returns a server for clients that listens on an address and rejects bodies of
+// more than limit bytes.
+func (g *Gate) ListenClients(addr string, limit int) (*Server, error) {
+	return g.listen(addr, limit, g.connections)
+}
+
+// Listen returns a server for a few internal peers, such as operators or the worker beside an
+// agent.
+func (g *Gate) Listen(addr string, limit int) (*Server, error) {
+	return g.listen(addr, limit, max(minConnections, g.connections/internalShare))
+}
+
+func (g *Gate) listen(addr string, limit, connections int) (*Server, error) {
 	SilenceLibraryLog()
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fault.At("listen", addr).Wrap(err)
 	}
 	h := server.New(
-		server.WithListener(lis),
+		server.WithListener(&listener{Listener: lis, gate: g, door: inflow.Door{Limit: connections}, body: limit}),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(limit),
+		// The gate has checked the size of the head.
+		server.WithMaxHeaderBytes(g.head+lengthWidth),
+		// A form's files would be written to a disk, which machines do not have.
+		server.WithDisablePreParseMultipartForm(true),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithKeepAliveTimeout(idleTimeout),
 		server.WithExitWaitTime(time.Second),
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -27,6 +27,7 @@
 	LinesDropped         = Event{112, "log lines dropped", "The reader of the log was too slow, or the log exceeded its volume limit. The field count says how many lines are missing here."}
 	Panicked             = Event{113, "handler panicked", "Handling one message failed by a programming error. The message was dropped; the process continues. The fields hold the stack."}
 	EntrySkipped         = Event{114, "odd entry skipped", "An entry of a list or a row in the store can't be used, so it was left out; the others hold. The fields say which and why."}
+	ClientsRefused       = Event{115, "clients refused", "Connections were refused or closed before they carried a whole request. The reason names the limit; count says how many since the last such line. The runbook is in docs/OPERATIONS.md, \"Clients that send without end\"."}
 	Retried              = Event{201, "request retried", "An attempt ended without an answer, and the request may be sent to another minion."}
 	Hedged               = Event{202, "request hedged", "An idempotent request was slow, and a second attempt was sent."}
 	Ejected              = Event{203, "minion ejected", "A minion failed several consecutive requests and gets no requests for a while."}
@@ -63,7 +64,7 @@
 // All returns every event in order of its number.
 func All() []Event {
 	return []Event{
-		Started, Stopping, Stopped, Failed, StoreOperationFailed, StoreUp, PeerLost, PeerFound, SettingsFileReread, SettingsFileRejected, StoreUnavailable, LinesDropped, Panicked, EntrySkipped,
+		Started, Stopping, Stopped, Failed, StoreOperationFailed, StoreUp, PeerLost, PeerFound, SettingsFileReread, SettingsFileRejected, StoreUnavailable, LinesDropped, Panicked, EntrySkipped, ClientsRefused,
 		Retried, Hedged, Ejected, MinionUnresponsive, Answered,
 		Accepted, Rejected, OutcomeUnknown, JobCancelled,
 		Owned, CellLost, Released, Decided, Snapshot, OwnerBehind, OwnerCaughtUp, AdviceFailed,
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -33,9 +33,25 @@
 	Minion  Minion        `yaml:"minion" doc:"Minion beside the agent; left out if there is none."`
 	Worker  Worker        `yaml:"worker" doc:"Worker beside the agent; left out if there is none."`
 	Fleet   Fleet         `yaml:"fleet" doc:"What a process needs on the users' platform; left out on the stand-ins."`
+	Inflow  Inflow        `yaml:"inflow" doc:"What clients of the HTTP listeners may hold before their requests are whole; a default applies to each key that is left out or 0."`
 	Stand   Stand         `yaml:"stand" doc:"What a stand-in platform offers."`
 }
 
+// Inflow bounds what the clients of all HTTP listeners of a process may hold before their
+// requests are whole. The defaults are in package httpd.
+type Inflow struct {
+	Memory      float64       `yaml:"memory" doc:"MB of the machine's memory. An eighth of it is the default of budget."`
+	Descriptors int           `yaml:"descriptors" doc:"File descriptors of the process. Three eighths of them are the default of connections."`
+	Budget      unit.Bytes    `yaml:"budget" doc:"Memory that requests may be charged, three bytes for each of their bytes; 256MiB if the memory is not given either."`
+	Connections int           `yaml:"connections" doc:"Most connections of the address for callers; the other addresses take an eighth each, at least 16. 1536 if the descriptors are not given either."`
+	Head        unit.Bytes    `yaml:"head" doc:"Largest request line with headers; 64KiB by default."`
+	Header      unit.Duration `yaml:"header" doc:"Longest time of a head; 10s by default."`
+	Body        unit.Duration `yaml:"body" doc:"Longest time of a body; 5m by default."`
+	Rate        unit.Bytes    `yaml:"rate" doc:"Least bytes a second of a body that takes over 10s; 512B by default."`
+	Idle        unit.Duration `yaml:"idle" doc:"Longest time without a request; 2m by default."`
+	Answer      unit.Duration `yaml:"answer" doc:"Longest wait for a client that does not read its answer; 1m by default."`
+}
+
 // Log sets the format and level of the log.
 type Log struct {
 	Format string `yaml:"format" doc:"text or json."`
@@ -137,6 +153,7 @@
 
 func (c *checker) check(s Settings, role Role) {
 	c.Want(s.Name != "", "name", "a name is needed")
+	c.inflow(s.Inflow)
 	if s.Fleet.On {
 		c.fleet(s, role)
 		return
@@ -155,6 +172,17 @@
 	}
 }
 
+// inflow checks that no limit is negative.
+func (c *checker) inflow(i Inflow) {
+	for key, v := range map[string]float64{
+		"memory": i.Memory, "descriptors": float64(i.Descriptors), "budget": float64(i.Budget), "connections": float64(i.Connections),
+		"head": float64(i.Head), "header": float64(i.Header), "body": float64(i.Body), "rate": float64(i.Rate),
+		"idle": float64(i.Idle), "answer": float64(i.Answer),
+	} {
+		c.Want(v >= 0, "inflow."+key, "%v is less than 0", v)
+	}
+}
+
 // location checks the settings that entries and agents have in common.
 func (c *checker) location(s Settings) {
 	c.Want(s.Site != "", "site", "a site is needed")
--- a/review/platform/fleet.go
+++ b/review/platform/fleet.go
@@ -208,8 +208,8 @@
 	data, err := os.ReadFile(file)
 	must(err)
 	text := string(data)
-	// There is no advisor, so its section is left out.
-	text = regexp.MustCompile(`(?s)\{\{#advisor\}\}.*?\{\{/advisor\}\}`).ReplaceAllString(text, "")
+	// There is no advisor and no value for the other sections, so they are left out.
+	text = regexp.MustCompile(`(?s)\{\{#[^}]*\}\}.*?\{\{/[^}]*\}\}`).ReplaceAllString(text, "")
 	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(s string) string {
 		v, ok := values[strings.Trim(s, "{}")]
 		if !ok {
--- a/review/stage2/platform/stage.go
+++ b/review/stage2/platform/stage.go
@@ -137,7 +137,15 @@
 			}
 			line = strings.ReplaceAll(first, "{{.}}", s.advisor.addr())
 		}
-		out = append(out, strings.TrimPrefix(line, "{{/advisor}}"))
+		line = strings.TrimPrefix(line, "{{/advisor}}")
+		// There are no values for the other sections.
+		if _, rest, ok := strings.Cut(line, "{{/"); ok {
+			_, line, _ = strings.Cut(rest, "}}")
+		}
+		if strings.HasPrefix(line, "{{#") {
+			continue
+		}
+		out = append(out, line)
 	}
 	return strings.Join(out, "")
 }
