rpcs: bound the connections and the parts of messages of a server

Package gob reads a message of up to 1 GB before it decodes it, and nothing bounded the number of connections. There are no limits of time, as a peer may be paused at any point. Calls that are whole stay unbounded.

The gauge lagoon_peer_refused counts closed connections.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -115,7 +115,7 @@
 func (f *Front) Start() error {
 	f.pool.DropOnTimeout = true
 	f.peers = map[string]*peer{}
-	s, err := rpcs.Listen(f.Listen, map[string]any{work.EntryService: &Peer{front: f}})
+	s, err := rpcs.ListenWithin(f.Listen, map[string]any{work.EntryService: &Peer{front: f}}, work.MaxMessage)
 	if err != nil {
 		return err
 	}
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -11,6 +11,7 @@
 // registerOwnerGauges.
 func (f *Front) registerGauges() {
 	f.Tally.Gauge(func() float64 { return float64(f.openRequests.Load()) }, "lagoon_requests_open")
+	f.Tally.Gauge(func() float64 { return float64(f.server.Refused()) }, "lagoon_peer_refused")
 	f.Tally.Gauge(f.configVersion, "lagoon_settings_version")
 	f.Tally.Gauge(func() float64 { return f.secondsSince(f.appliedAt.Load()) }, "lagoon_settings_age_seconds")
 	f.Tally.Gauge(func() float64 { return f.secondsSince(f.storeDownSince.Load()) }, "lagoon_store_away_seconds")
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -125,7 +125,7 @@
 // Start opens the address and starts the loops.
 func (r *Runner) Start() error {
 	r.pool.DropOnTimeout = true
-	s, err := rpcs.Listen(r.Listen, map[string]any{work.AgentService: &Peer{runner: r}})
+	s, err := rpcs.ListenWithin(r.Listen, map[string]any{work.AgentService: &Peer{runner: r}}, work.MaxMessage)
 	if err != nil {
 		return err
 	}
@@ -158,6 +158,7 @@
 			return value(r.Clock.Now())
 		}, name)
 	}
+	r.Tally.Gauge(func() float64 { return float64(r.server.Refused()) }, "lagoon_peer_refused")
 	gauge(func(time.Duration) float64 { return float64(r.term) }, "lagoon_known_term")
 	gauge(func(now time.Duration) float64 { return (now - r.lease.ackedReportAt).Seconds() }, "lagoon_owner_silent_seconds")
 	gauge(func(now time.Duration) float64 { return r.lease.maxRemaining(now).Seconds() }, "lagoon_lease_left_seconds")
--- a/internal/tally/catalogue.go
+++ b/internal/tally/catalogue.go
@@ -50,6 +50,7 @@
 		{"lagoon_paces_total", "counter", "", "agent", "Orders to throttle a run or to lift its throttling."},
 		{"lagoon_panics_total", "counter", "step", "both", "Messages whose handling panicked; only that call failed."},
 		{"lagoon_peer_bytes", "gauge", "way", "both", "Bytes sent or received on connections between processes."},
+		{"lagoon_peer_refused", "gauge", "", "both", "Connections between processes that this one closed, because there were too many or because they held or announced too much."},
 		{"lagoon_pings_lost_total", "counter", "", "entry", "Pings to other entries that got no answer."},
 		{"lagoon_ready_cores", "gauge", "", "entry", "CPU cores of the workers that may get new runs, at the owner."},
 		{"lagoon_refusals_total", "counter", "reason", "entry", "Requests that certainly did not run."},
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -199,6 +199,11 @@
 	AgentService = "Agent"
 )
 
+// MaxMessage is the maximum size of a request between processes, in bytes. The largest are
+// transactions that are relayed to another entry, with jobs of up to 1 MiB, and reports of an
+// agent, with some hundred bytes a run. Responses are not bounded.
+const MaxMessage = 16 << 20
+
 // Ping is sent by an entry to each of the others to exchange state.
 type Ping struct {
 	// Addr is the address of the sender, and Version the configuration version
