httpd: allow clients what the operator's configuration allows

The limits of a head, its time and an idle connection are raised to what limits in the configuration says (maxHeaderBytes, three times headerTimeoutMs, idleTimeoutMs) where the settings are below it. It never lowers a limit.

--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -50,7 +50,7 @@
 
 // reset prepares for the next request.
 func (k *conn) reset() {
-	k.framing = framing{headLimit: k.gate.head, bodyLimit: k.bodyLimit}
+	k.framing = framing{headLimit: int(k.gate.head.Load()), bodyLimit: k.bodyLimit}
 	k.ready = nil
 }
 
--- a/internal/httpd/gate.go
+++ b/internal/httpd/gate.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lagoonrack/internal/inflow"
@@ -21,9 +22,10 @@
 type Gate struct {
 	log   logs.Log
 	tally *tally.Set
-	// head is the maximum size of a head, and connections the maximum number of
-	// connections of a listener for clients.
-	head, connections int
+	// head is the maximum size of a head, in bytes.
+	head atomic.Int64
+	// connections is the maximum number of connections of a listener for clients.
+	connections int
 
 	// mu guards the fields below.
 	mu    sync.Mutex
@@ -95,12 +97,12 @@
 func NewGate(s proc.Inflow, log logs.Log, set *tally.Set) *Gate {
 	g := &Gate{
 		log: log, tally: set,
-		head:        cmp.Or(int(s.Head), defaultHead),
 		connections: max(minConnections, cmp.Or(s.Connections, s.Descriptors*connectionShare/8, defaultConnections)),
 		conns:       map[*inflow.Conn]*conn{},
 		unlogged:    map[inflow.Reason]int{}, logged: map[inflow.Reason]time.Duration{},
 		released: -releaseInterval,
 	}
+	g.head.Store(cmp.Or(int64(s.Head), defaultHead))
 	g.core.Limits = inflow.Limits{
 		Memory: cmp.Or(int64(s.Budget), int64(s.Memory*(1<<20)/budgetShare), defaultBudget),
 		Head:   cmp.Or(s.Header.Std(), defaultHeadTime),
@@ -116,6 +118,20 @@
 	return g
 }
 
+// timeMargin multiplies the time that clients are known to take for a head, since retransmissions
+// and a slow process add to it.
+const timeMargin = 3
+
+// Allow raises limits that are below what clients are allowed: the size of a head in bytes, the
+// time that they take for one, and how long they keep a connection without a request.
+func (g *Gate) Allow(head int, headTime, idle time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.head.Store(max(g.head.Load(), int64(head)))
+	g.core.Limits.Head = max(g.core.Limits.Head, timeMargin*headTime)
+	g.core.Limits.Idle = max(g.core.Limits.Idle, idle)
+}
+
 // measure returns a value of the core.
 func (g *Gate) measure(f func() int64) float64 {
 	g.mu.Lock()
--- a/internal/httpd/gate_test.go
+++ b/internal/httpd/gate_test.go
@@ -330,6 +330,25 @@
 	}
 }
 
+// Guards against limits that are below what the operator's configuration allows clients, and
+// against a configuration that lowers a limit of the settings.
+func TestAllowsWhatTheConfigurationAllows(t *testing.T) {
+	w := newSite(t, proc.Inflow{Head: 1000})
+	before := w.gate.core.Limits
+	w.gate.Allow(500, time.Millisecond, time.Millisecond)
+	if w.gate.core.Limits != before || w.gate.head.Load() != 1000 {
+		t.Errorf("the limits have become %+v", w.gate.core.Limits)
+	}
+	const head = 2 << 20
+	w.gate.Allow(head, time.Hour, time.Hour)
+	if l := w.gate.core.Limits; l.Head != timeMargin*time.Hour || l.Idle != time.Hour {
+		t.Errorf("the limits have become %+v", l)
+	}
+	c := w.dial()
+	c.send(postHead + "A: " + strings.Repeat("a", head-len(postHead)-len("A: \r\n\r\n")) + "\r\n\r\n")
+	c.checkAnswer(http.StatusOK, "")
+}
+
 // Guards against settings whose value is not used, and defaults that cut ordinary clients.
 func TestDerivesLimitsFromTheMachine(t *testing.T) {
 	g := NewGate(proc.Inflow{Memory: 184, Descriptors: 4100}, logs.Log{}, nil)
@@ -337,8 +356,8 @@
 		t.Errorf("%d bytes, %d connections", g.core.Limits.Memory, g.connections)
 	}
 	g = NewGate(proc.Inflow{}, logs.Log{}, nil)
-	if g.core.Limits.Memory != defaultBudget || g.connections != defaultConnections || g.head != defaultHead {
-		t.Errorf("%d bytes, %d connections, head %d", g.core.Limits.Memory, g.connections, g.head)
+	if g.core.Limits.Memory != defaultBudget || g.connections != defaultConnections || g.head.Load() != defaultHead {
+		t.Errorf("%d bytes, %d connections, head %d", g.core.Limits.Memory, g.connections, g.head.Load())
 	}
 	g = NewGate(proc.Inflow{Memory: 184, Descriptors: 4100, Budget: 1 << 20, Connections: 20}, logs.Log{}, nil)
 	if g.core.Limits.Memory != 1<<20 || g.connections != 20 {
--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -74,8 +74,8 @@
 		server.WithListener(&listener{Listener: lis, gate: g, door: inflow.Door{Limit: connections}, body: limit}),
 		server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(limit),
-		// The gate has checked the size of the head.
-		server.WithMaxHeaderBytes(g.head+lengthWidth),
+		// The gate bounds the size of a head; the library has no limit with 0.
+		server.WithMaxHeaderBytes(0),
 		// A form's files would be written to a disk, which machines do not have.
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithIdleTimeout(idleTimeout),
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -331,8 +331,12 @@
 	Version  uint64
 	Queues   []Queue
 	Services []Service
-	// Body is the maximum size of a request body, in bytes.
-	Body int
+	// Body is the maximum size of a request body, and Head that of a request line with its
+	// headers, in bytes.
+	Body, Head int
+	// HeadMs is the longest time that clients take for a head, and IdleMs how long they keep
+	// a connection without a request, in milliseconds.
+	HeadMs, IdleMs int64
 }
 
 // Match returns the queue that matches the host and has the longest matching prefix
