rpcs: charge a message its announced size

Package gob allocates up to 10 MiB of a message at its first byte. With the received bytes charged, 100 connections that announce 10 MB and send 2 MB brought an entry with a limit of 16 MiB to 130 MB.

--- a/internal/rpcs/limit.go
+++ b/internal/rpcs/limit.go
@@ -10,8 +10,9 @@
 // errMessageSize says that a peer announced a message over the limit.
 var errMessageSize = errors.New("the message is too large")
 
-// limitedConn is a server's connection that tells the core how much of a message has arrived.
-// Package gob reads a message of up to 1 GB before it decodes it.
+// limitedConn is a server's connection that tells the core of messages that are not whole. They
+// are charged their announced size: package gob reads a message of up to 1 GB before it decodes
+// it, and allocates up to 10 MiB of it at its first byte.
 type limitedConn struct {
 	net.Conn
 	server *Server
@@ -32,7 +33,7 @@
 	return n, err
 }
 
-// received notes how much of a message a connection holds. It reports whether the connection
+// received notes the message that a connection is receiving. It reports whether the connection
 // may continue.
 func (s *Server) received(state *inflow.Conn, f *frame) bool {
 	s.mu.Lock()
@@ -49,7 +50,7 @@
 	if f.held > 0 && !state.Partial() {
 		s.core.BeginHead(0, state)
 	}
-	for _, victim := range s.core.Hold(0, state, int64(f.held)) {
+	for _, victim := range s.core.Hold(0, state, int64(f.held+f.left)) {
 		s.closeLocked(victim)
 	}
 	return state.Refused() == inflow.None
--- a/internal/rpcs/limit_test.go
+++ b/internal/rpcs/limit_test.go
@@ -83,11 +83,12 @@
 	checkCall(t, s, testMessage-1000)
 }
 
-// Guards against parts of messages that together take any amount of memory.
+// Guards against parts of messages that together take any amount of memory, of which package gob
+// allocates most before it arrives.
 func TestBoundsPartsOfMessages(t *testing.T) {
 	s := newEcho(t)
 	for range 10 {
-		sendPart(t, s, testMessage, testMessage/3)
+		sendPart(t, s, testMessage/3, 1000)
 	}
 	waitForRefusals(t, s, 7)
 	checkCall(t, s, 1000)
--- a/internal/rpcs/server.go
+++ b/internal/rpcs/server.go
@@ -31,8 +31,8 @@
 	maxMessage int
 	// mu guards core, door and conns.
 	mu sync.Mutex
-	// core decides which connection is closed when too many are open, or when they hold too
-	// much of messages that are not whole. Its limits of time are not used: a peer may be
+	// core decides which connection is closed when too many are open, or when their messages
+	// that are not whole are too large together. Its limits of time are not used: a peer may be
 	// paused at any point.
 	core      inflow.Core
 	door      inflow.Door
@@ -49,8 +49,8 @@
 	return ListenWithin(addr, receivers, MaxMessage)
 }
 
-// ListenWithin is like Listen, but accepts messages of up to maxMessage bytes. Those parts of
-// messages that have arrived may not be larger together either, unless there is only one.
+// ListenWithin is like Listen, but accepts messages of up to maxMessage bytes. The
+// messages that are not whole may not be larger together either, unless there is only one.
 func ListenWithin(addr string, receivers map[string]any, maxMessage int) (*Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
