platform: limit the memory of the Go runtime to three quarters of the machine's

Without a limit the heap grows to twice of what is in use. The limit holds only where the settings name the machine's memory.

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -40,7 +40,7 @@
 // Inflow bounds what the clients of all HTTP listeners of a process may hold before their
 // requests are whole. The defaults are in package httpd.
 type Inflow struct {
-	Memory      float64       `yaml:"memory" doc:"MB of the machine's memory. An eighth of it is the default of budget."`
+	Memory      float64       `yaml:"memory" doc:"MB of the machine's memory. An eighth of it is the default of budget, and three quarters are the limit from which on the garbage collector works harder."`
 	Descriptors int           `yaml:"descriptors" doc:"File descriptors of the process. Three eighths of them are the default of connections."`
 	Budget      unit.Bytes    `yaml:"budget" doc:"Memory that requests may be charged, three bytes for each of their bytes; 256MiB if the memory is not given either."`
 	Connections int           `yaml:"connections" doc:"Most connections of the address for callers; the other addresses take an eighth each, at least 16. 1536 if the descriptors are not given either."`
