rpcs: return the memory of large messages to the system

The collector kept what messages of 10 MB took. The memory is returned 2 s after the end of a connection, if messages were charged a quarter of the maximum size or more and no longer are.

--- a/internal/rpcs/limit.go
+++ b/internal/rpcs/limit.go
@@ -53,6 +53,7 @@
 	for _, victim := range s.core.Hold(0, state, int64(f.held+f.left)) {
 		s.closeLocked(victim)
 	}
+	s.peak = max(s.peak, s.core.Held())
 	return state.Refused() == inflow.None
 }
 
--- a/internal/rpcs/limit_test.go
+++ b/internal/rpcs/limit_test.go
@@ -105,6 +105,23 @@
 	}
 }
 
+// Guards against memory that large messages took and that is never planned to be returned.
+func TestReleasesMemoryOfLargeMessages(t *testing.T) {
+	s := newEcho(t)
+	checkCall(t, s, testMessage/2)
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		peak := s.peak
+		s.mu.Unlock()
+		if peak == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not released; peak %d", peak)
+		}
+	}
+}
+
 // Guards against silent connections that use up the descriptors and keep out peers.
 func TestBoundsConnections(t *testing.T) {
 	s := newEcho(t)
--- a/internal/rpcs/server.go
+++ b/internal/rpcs/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,11 @@
 	maxConnections = 1536
 	// acceptPause is the pause after a failed accept, such as for lack of descriptors.
 	acceptPause = 20 * time.Millisecond
+	// releaseShare is the share of the maximum size of a message from which on the memory of
+	// messages is returned to the system, and releaseDelay the time from the end of a
+	// connection to that. It costs a collection.
+	releaseShare = 4
+	releaseDelay = 2 * time.Second
 )
 
 // Server serves net/rpc on one address.
@@ -39,6 +45,10 @@
 	conns     map[*inflow.Conn]net.Conn
 	accepting sync.WaitGroup
 	refused   atomic.Int64
+	// peak is the largest charge since memory was last returned to the system, and releasing
+	// is set while that is planned.
+	peak      int64
+	releasing bool
 	// Traffic counts the bytes of all connections.
 	Traffic Traffic
 }
@@ -122,6 +132,25 @@
 	defer s.mu.Unlock()
 	s.core.Close(conn.state)
 	delete(s.conns, conn.state)
+	if s.peak >= int64(s.maxMessage/releaseShare) && !s.releasing {
+		s.releasing = true
+		time.AfterFunc(releaseDelay, s.release)
+	}
+}
+
+// release returns memory to the system, unless it is still needed. The collector would keep what
+// large messages took for minutes.
+func (s *Server) release() {
+	s.mu.Lock()
+	s.releasing = false
+	needed := s.core.Held() >= s.peak/releaseShare
+	if !needed {
+		s.peak = 0
+	}
+	s.mu.Unlock()
+	if !needed {
+		debug.FreeOSMemory()
+	}
 }
 
 // Refused returns the number of connections that were closed, because there were too many or
