speed, sched: learn how fast runs are on each worker, and move starved runs only if that pays

With fleet.uneven, the owner estimates by worker, rack and zone how fast runs make progress and which part of the expected processor time they get, and moves a starved run only if it is expected to end earlier elsewhere. Off by default.

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -70,6 +70,7 @@
 	Lease    unit.Duration `yaml:"lease" doc:"How long a worker goes on without a renewal by its agent."`
 	Trust    unit.Duration `yaml:"trust" doc:"How long an agent renews without a word from the owner."`
 	Keep     unit.Duration `yaml:"keep" doc:"How long an ended job can be asked for."`
+	Uneven   bool          `yaml:"uneven" doc:"Whether an owner learns how fast runs make progress on each worker, and places and moves best-effort tasks by it; false by default."`
 }
 
 // Stand lists the minions and workers that a stand-in platform simulates.
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -28,6 +28,7 @@
 	"lagoonrack/internal/intake"
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
+	"lagoonrack/internal/speed"
 	"lagoonrack/internal/work"
 )
 
@@ -100,7 +101,9 @@
 	outbox       []*worker
 	runTimes     runTimes
 	interference press.Table
-	learned      learned
+	// speeds is only used if limits.Uneven is set.
+	speeds  speed.Table
+	learned learned
 	// listCount numbers the lists of runs that were handled.
 	listCount uint64
 	// released records the runs that were released without a listed end.
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -19,6 +19,9 @@
 	// RowBytes bounds the value of a row, and TasksPerRow the tasks whose progress is in
 	// one row.
 	RowBytes, TasksPerRow int
+	// Uneven says that the speed of workers is learned, and that best-effort tasks are placed
+	// and moved by it.
+	Uneven bool
 }
 
 const (
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -71,13 +71,18 @@
 
 // newLoadedCell returns a cell whose long-running jobs take longShare of all cores.
 func newLoadedCell(workers int, seed uint64) *loadedCell {
+	return newLimitedLoadedCell(workers, seed, sched.Limits{})
+}
+
+// newLimitedLoadedCell returns the same with the given limits of the owner.
+func newLimitedLoadedCell(workers int, seed uint64, limits sched.Limits) *loadedCell {
 	s := &loadedCell{rng: rand.New(rand.NewPCG(seed, uint64(workers))), byAgent: map[string]*loadedNode{}, cancels: map[string]time.Duration{}}
 	cfg := &work.Config{Version: 1, Queues: []work.Queue{
 		{Name: "short", Service: "s", Attempts: 3, Stretch: 1.5, Target: 300},
 		{Name: "fill", Service: "s", Attempts: 2, Stretch: 2, Target: 1000, Priority: 2},
 		{Name: "long", Service: "s", Attempts: 3, Stretch: 2.2, Target: 2500},
 	}}
-	s.core = sched.New(sched.Limits{}, 1, 0, 0, sched.StoredRows{}, cfg)
+	s.core = sched.New(limits, 1, 0, 0, sched.StoredRows{}, cfg)
 	for i := range workers {
 		n := &loadedNode{agent: fmt.Sprintf("agent-%04d", i), runs: map[work.Run]*loadedRun{}, process: 1}
 		n.Worker = work.Worker{Life: work.Life{ID: fmt.Sprintf("w-%04d", i), Born: 1}, Service: "s", Size: vect.Size{Cores: coresPerWorker, Memory: 256000}, Labels: []string{"a", fmt.Sprint("r", i/workersPerRack)}}
@@ -285,12 +290,13 @@
 // scheduling passes. A bound that is too tight, or an evaluation that is reused after it
 // has become wrong, shows as a different placement.
 func TestShortcutsKeepDecisions(t *testing.T) {
-	for seed := range uint64(4) {
+	for seed := range uint64(8) {
 		for _, load := range []float64{0.6, 0.95, 1.3} {
+			limits := sched.Limits{Uneven: seed >= 4}
 			t.Run(fmt.Sprintf("seed=%d/load=%v", seed, load), func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				plain, fast := newLoadedCell(20, seed), newLoadedCell(20, seed)
+				plain, fast := newLimitedLoadedCell(20, seed, limits), newLimitedLoadedCell(20, seed, limits)
 				plain.core.SetExhaustive()
 				for _, s := range []*loadedCell{plain, fast} {
 					s.keep = true
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -315,6 +315,7 @@
 			return
 		}
 		c.countWork(p)
+		c.observeSpeed(p)
 		c.runTimes.add(c.now, p.task.step.job.Queue, p.task.step.Step, p.task.workDone)
 	case work.Failed:
 		c.noteFailure(p, "failures")
@@ -349,6 +350,7 @@
 		}
 	}
 	c.observeInterference(w)
+	c.observeShare(w)
 	if report.MoreEnds {
 		// A run that is not listed may have ended, even successfully.
 		return
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -121,6 +121,8 @@
 	// starvedSince is when a best-effort run began to get little of the processor
 	// time that it asks for, or 0.
 	starvedSince time.Duration
+	// stayLogged says that it was logged that the run stays although it is starved.
+	stayLogged bool
 	// percentSince is when the worker first listed the present percent.
 	percentSince time.Duration
 	// missedLists counts the lists without the run since it was last listed.
--- /dev/null
+++ b/internal/sched/uneven.go
@@ -0,0 +1,108 @@
+package sched
+
+import (
+	"time"
+
+	"lagoonrack/internal/speed"
+)
+
+// This file passes to internal/speed what is seen of best-effort runs, and asks it for
+// decisions. It changes nothing unless Limits.Uneven is set.
+
+const (
+	// settleTime is the time after a start in which a run's processor time says nothing about
+	// its worker: a checkpoint is restored within 600 ms, and a measurement covers as much.
+	settleTime = 1200 * time.Millisecond
+)
+
+// place returns where a worker is.
+func (w *worker) place() speed.Place {
+	return speed.Place{Worker: w.ID, Rack: w.Rack(), Zone: w.Zone}
+}
+
+// observeShare records the processor time that the best-effort runs in a worker's newest list
+// get, relative to what was expected for them.
+func (c *Core) observeShare(w *worker) {
+	if !c.limits.Uneven {
+		return
+	}
+	var asked, got int64
+	for _, p := range w.placements.list {
+		if s := p.task.step; s.Fills && p.listedIn == c.listCount && p.stopReason == "" && c.now-p.confirmedAt >= settleTime {
+			asked += s.Size.Cores
+			got += p.measured
+		}
+	}
+	if expected := min(asked, c.idleCores(w)); expected > 0 {
+		c.speeds.ObserveShare(c.now, w.place(), float64(got)/float64(expected), c.now-w.shareAt)
+	}
+	w.shareAt = c.now
+}
+
+// observeSpeed records the speed of a successful run that did a whole task.
+func (c *Core) observeSpeed(p *placement) {
+	t := p.task
+	if !c.limits.Uneven || t.lastRun != 1 || t.workDone <= 0 {
+		return
+	}
+	usual, _ := c.runTimes.estimate(t.step.job.Queue, t.step.Step)
+	c.speeds.ObserveSpeed(c.now, p.worker.place(), usual.Seconds()/t.workDone.Seconds())
+}
+
+// observeWait records how long a best-effort task has waited that is placed again. The tasks of
+// jobs that have begun come first, so they wait less than others.
+func (c *Core) observeWait(t *task) {
+	if c.limits.Uneven && t.step.Fills && t.lastRun > 1 {
+		c.speeds.ObserveWait(c.now, c.waitTime(t))
+	}
+}
+
+// expectedShare returns the share of what they ask for that the best-effort tasks on a worker
+// would get if they got the idle processor time, given how much they ask for.
+func (c *Core) expectedShare(w *worker, asked int64) float64 {
+	return min(1, float64(max(0, c.idleCores(w)))/float64(max(1, asked)))
+}
+
+// movePays reports whether a starved run is to be moved. If Limits.Uneven is set, it is moved
+// only if it is expected to end earlier on another worker.
+func (c *Core) movePays(p *placement) bool {
+	if !c.limits.Uneven {
+		return true
+	}
+	t, w, s := p.task, p.worker, p.task.step
+	usual, _ := c.runTimes.estimate(s.job.Queue, s.Step)
+	whole, left := c.expectedWork(t, usual)
+	present := float64(p.measured) / float64(max(1, s.Size.Cores))
+	stays := c.speeds.EndIfStays(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores), present)
+	if !s.Saves {
+		left = whole
+	}
+	wait, elsewhere := c.expectedElsewhere(p, left)
+	if speed.MovePays(stays, wait, elsewhere) {
+		return true
+	}
+	p.starvedSince = c.now
+	if !p.stayLogged {
+		p.stayLogged = true
+		c.emit(Decision{Kind: "stay", Task: p.name(), Run: p.run, Worker: w.ID, Reason: "starved", Took: stays})
+	}
+	return false
+}
+
+// expectedElsewhere returns how long the task of a run would wait for another worker, and how
+// long it would need there for the given work at full speed.
+func (c *Core) expectedElsewhere(p *placement, left time.Duration) (wait, end time.Duration) {
+	s := p.task.step
+	wait, end = c.speeds.Wait(c.now), left
+	found := false
+	for _, w := range c.candidates(s, c.schedulableWorkers()) {
+		if w == p.worker || c.suspect(w) || !c.fits(p.task, w) {
+			continue
+		}
+		e := c.speeds.End(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores+s.Size.Cores))
+		if !found || e < end {
+			wait, end, found = 0, e, true
+		}
+	}
+	return wait, end
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -33,6 +33,8 @@
 	headroom headroomCache
 	// bestEffortChanged is when a best-effort placement was last added or removed.
 	bestEffortChanged time.Duration
+	// shareAt is when the processor time of the best-effort runs was last observed.
+	shareAt time.Duration
 	// lastReport is when the last report arrived. leaseEnd is an upper bound of the
 	// end of every lease that the worker may hold.
 	lastReport, leaseEnd time.Duration
@@ -311,6 +313,7 @@
 		c.checkWorker(w)
 	}
 	c.forgetWorkers()
+	c.speeds.Trim(c.now)
 	c.dropFinishedJobs()
 	c.updateAdmission()
 	c.updateBacklog()
