sched: best-effort tasks go where they are expected to end first

With fleet.uneven, the score of a candidate counts the expected duration of the task there, from the learned speed and share of its worker, rack and zone. Best-effort tasks may ask together for 1.1 times what they are expected to get on a worker: without that, what remains of each worker after the last whole task is not used.

--- a/internal/sched/besteffort.go
+++ b/internal/sched/besteffort.go
@@ -82,7 +82,7 @@
 // hasIdleCores reports whether a worker has the idle processor time that a best-effort
 // task asks for, or no other best-effort task.
 func (c *Core) hasIdleCores(s *step, w *worker) bool {
-	return w.bestEffortCores+s.Size.Cores <= c.idleCores(w) || w.bestEffortCores == 0
+	return w.bestEffortCores+s.Size.Cores <= c.offeredCores(w) || w.bestEffortCores == 0
 }
 
 // requiredMargin returns the headroom that a task must leave to the
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -277,7 +277,7 @@
 		}
 	}
 	slices.Sort(stored.Orphans)
-	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow}
+	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow, Uneven: w.rowBytes%2 == 0}
 	o := &owner{core: sched.New(l, w.currentTerm, w.now, 0, stored, w.config()), term: w.currentTerm, lastStates: map[string]string{}}
 	w.owners = append(w.owners, o)
 	w.logf("owner %d", o.term)
--- a/internal/sched/shortlist.go
+++ b/internal/sched/shortlist.go
@@ -54,7 +54,7 @@
 	w := o.worker
 	if s.Fills {
 		o.headroom = c.latencyHeadroom(s, w)
-		o.base = c.bestEffortScore(s, w, o.headroom)
+		o.base = c.bestEffortScore(s, w, o.headroom) - c.slowness(s, w)
 	} else {
 		// The fullest worker comes first, so that some workers stay free of
 		// latency-critical tasks and best-effort tasks there interfere with none.
@@ -139,7 +139,7 @@
 		if w.bestEffortCores == 0 {
 			b.idle = noCapacity.Cores
 		}
-		b.idle = max(b.idle, c.idleCores(w)-w.bestEffortCores)
+		b.idle = max(b.idle, c.offeredCores(w)-w.bestEffortCores)
 	}
 	return b
 }
--- a/internal/sched/uneven.go
+++ b/internal/sched/uneven.go
@@ -13,6 +13,13 @@
 	// settleTime is the time after a start in which a run's processor time says nothing about
 	// its worker: a checkpoint is restored within 600 ms, and a measurement covers as much.
 	settleTime = 1200 * time.Millisecond
+	// slownessWeight is the weight of the expected duration of a task, as a multiple of what
+	// its queue says, against the interference that it adds and the headroom that it leaves.
+	slownessWeight = 1
+	// offerFactor is how much more processor time best-effort tasks may ask for than they are
+	// expected to get. Without it, the rest of each worker that no further task fits stays
+	// unused, about half a task.
+	offerFactor = 1.1
 )
 
 // place returns where a worker is.
@@ -63,6 +70,26 @@
 	return min(1, float64(max(0, c.idleCores(w)))/float64(max(1, asked)))
 }
 
+// offeredCores returns how much processor time best-effort tasks on a worker may ask for, in
+// thousandths of a core.
+func (c *Core) offeredCores(w *worker) int64 {
+	idle := c.idleCores(w)
+	if !c.limits.Uneven {
+		return idle
+	}
+	return int64(offerFactor * c.speeds.Of(c.now, w.place()).Share * float64(idle))
+}
+
+// slowness returns what speaks against a worker for a best-effort task of a step because runs
+// take longer there than elsewhere.
+func (c *Core) slowness(s *step, w *worker) float64 {
+	if !c.limits.Uneven {
+		return 0
+	}
+	share := c.expectedShare(w, w.bestEffortCores+s.Size.Cores)
+	return slownessWeight * c.speeds.End(c.now, w.place(), time.Second, share).Seconds()
+}
+
 // movePays reports whether a starved run is to be moved. If Limits.Uneven is set, it is moved
 // only if it is expected to end earlier on another worker.
 func (c *Core) movePays(p *placement) bool {
--- a/internal/sched/uneven_test.go
+++ b/internal/sched/uneven_test.go
@@ -295,11 +295,11 @@
 
 // closeGhost compares the end of a moved task with that of its run if it had stayed.
 func (s *unevenCell) closeGhost(r *unevenRun) {
-	g := s.ghosts[r.Run.Task]
+	g := s.ghosts[r.Task]
 	if g == nil {
 		return
 	}
-	delete(s.ghosts, r.Run.Task)
+	delete(s.ghosts, r.Task)
 	// The ghost of a run that ends later than the task is taken on at its present speed.
 	if g.done == 0 {
 		g.done = s.now + time.Duration((1-g.run.progress)*float64(g.run.length)/max(0.05, g.rate()))
@@ -410,7 +410,7 @@
 		}
 		r.Running = append(r.Running, item)
 	}
-	slices.SortFunc(r.Running, func(a, b work.Running) int { return cmp.Compare(a.Run.Task, b.Run.Task) })
+	slices.SortFunc(r.Running, func(a, b work.Running) int { return cmp.Compare(a.Task, b.Task) })
 	for _, t := range n.throttler.Step(s.now, r.Running, about) {
 		if x := n.find(t.Run); x != nil {
 			x.level = float64(t.Percent) / 100
@@ -653,6 +653,10 @@
 			// Six plays have some 80 jobs at the lowest load and 440 at the highest; the value
 			// differs by up to 0.03 between orders that differ by chance only.
 			g.Expect(value(after, "fill")).To(BeNumerically(">=", value(before, "fill")-0.03), "best-effort jobs")
+			if load == 0.95 {
+				// There is capacity for nearly all, if little of it is left unused.
+				g.Expect(value(after, "fill")).To(BeNumerically(">", value(before, "fill")), "best-effort jobs near capacity")
+			}
 			g.Expect(value(after, "short")).To(BeNumerically(">=", value(before, "short")-0.005), "short jobs")
 			g.Expect(value(after, "fill, largest tenth")).To(BeNumerically(">=", value(before, "fill, largest tenth")-0.06), "the largest jobs")
 			g.Expect(after.overTarget()).To(BeNumerically("<=", before.overTarget()+0.005), "latency-critical tasks over their target")
@@ -714,3 +718,47 @@
 		})
 	}
 }
+
+// An owner filled a slow zone as long as it had idle processor time and headroom, although
+// faster workers were free. What it had learned held for workers that it had not used yet.
+func TestBestEffortTasksPreferFastWorkers(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		t.Run(fmt.Sprint("uneven=", on), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newLimitedCell(sched.Limits{Uneven: on}, testQueues, 64, 64, 64, 64, 64, 64)
+			for i, w := range s.workers {
+				w.Zone = fmt.Sprint("z", i/3)
+			}
+			s.advance(tickInterval)
+			// Runs of the first rack need twice as long.
+			for i := range 8 {
+				s.submit(fmt.Sprintf("%016x", 0xb0+i), "short", work.Step{Count: 48, Size: vect.Size{Cores: 4 * cores, Memory: 10}, Estimate: 1000, Apart: 8})
+				for tick := range 20 {
+					s.advance(tickInterval)
+					for k, w := range s.workers {
+						for r, x := range w.runs {
+							x.percent += 5
+							if k >= 3 && tick == 9 || tick == 19 {
+								s.endRun(w, r, work.Done)
+							}
+						}
+					}
+				}
+			}
+			s.advance(tickInterval)
+			step := bestEffortStep(4)
+			step.Count = 12
+			s.submit("00000000000000a1", "fill", step)
+			s.advance(tickInterval)
+			slow := 0
+			for _, n := range s.tasksPerWorker("00000000000000a1")[:3] {
+				slow += n
+			}
+			if on {
+				g.Expect(slow).To(BeZero())
+			} else {
+				g.Expect(slow).To(BeNumerically(">=", 6))
+			}
+		})
+	}
+}
