sched, front: show what is learned of workers' speed, and log what decisions were based on

With fleet.uneven, metrics show the slowest, median and fastest speed, the least and median share of processor time, and the age of the evidence; kind speed of event 304 gives the estimates of each zone and of the slowest worker each 10 s; place, stay and move give what the run was expected to need. Runs that are moved within 0.7 s now leave evidence about the share of their worker, which they did not.

--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -40,6 +40,12 @@
 	each(func(c sched.Census) float64 { return float64(c.Placed) }, "lagoon_tasks", "state", "placed")
 	each(func(c sched.Census) float64 { return float64(c.Waiting) }, "lagoon_tasks", "state", "waiting")
 	each(func(c sched.Census) float64 { return float64(c.Jobs) }, "lagoon_jobs_active")
+	each(func(c sched.Census) float64 { return c.Slowest }, "lagoon_worker_speed", "of", "slowest")
+	each(func(c sched.Census) float64 { return c.Median }, "lagoon_worker_speed", "of", "median")
+	each(func(c sched.Census) float64 { return c.Fastest }, "lagoon_worker_speed", "of", "fastest")
+	each(func(c sched.Census) float64 { return c.LeastShare }, "lagoon_worker_share", "of", "least")
+	each(func(c sched.Census) float64 { return c.MedianShare }, "lagoon_worker_share", "of", "median")
+	each(func(c sched.Census) float64 { return c.MedianAge.Seconds() }, "lagoon_worker_speed_age_seconds")
 	for _, r := range sched.HeldReasons() {
 		each(func(c sched.Census) float64 { return float64(c.Held[r]) }, "lagoon_tasks_held", "reason", r)
 	}
--- a/internal/leader/loops.go
+++ b/internal/leader/loops.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"lagoonrack/internal/advice"
@@ -80,6 +81,13 @@
 	if n.Took > 0 {
 		f["ms"] = n.Took.Milliseconds()
 	}
+	add("zone", n.Zone)
+	if n.Needs > 0 {
+		f["needs"] = n.Needs.Milliseconds()
+	}
+	if n.Speed > 0 {
+		f["speed"], f["share"] = math.Round(100*n.Speed)/100, math.Round(100*n.Share)/100
+	}
 	l.Log.Info(e, f)
 }
 
--- a/internal/sched/census.go
+++ b/internal/sched/census.go
@@ -21,11 +21,12 @@
 	// Held counts, by reason, waiting tasks that are not placed although a worker has the
 	// capacity, among the first ones in the order of scheduling. It is nil if there are none.
 	Held map[string]int
+	SpeedCensus
 }
 
 // Census counts the workers, tasks and jobs that the owner knows now.
 func (c *Core) Census() Census {
-	var out Census
+	out := Census{SpeedCensus: c.speedCensus()}
 	if len(c.held) > 0 {
 		out.Held = maps.Clone(c.held)
 	}
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -114,6 +114,17 @@
 	// Took is a duration that belongs to the decision, such as the time that the
 	// run or job took or that the task waited.
 	Took time.Duration
+	Expectation
+}
+
+// Expectation is what a decision by the learned speeds is based on. It is zero for all others.
+type Expectation struct {
+	// Needs is how long the run is expected to need on the worker that it is placed on, or on
+	// another one if it stays or is moved.
+	Needs time.Duration
+	// Zone, Speed and Share are the estimates of a zone or of the worker.
+	Zone         string
+	Speed, Share float64
 }
 
 func (Commit) effect()     {}
--- a/internal/sched/orders.go
+++ b/internal/sched/orders.go
@@ -71,7 +71,7 @@
 
 // stopToMove stops a run that is to continue on another worker and logs the reason.
 func (c *Core) stopToMove(p *placement, reason string) {
-	c.emit(Decision{Kind: "move", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: reason})
+	c.emit(Decision{Kind: "move", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: reason, Took: p.staysFor, Expectation: Expectation{Needs: p.elsewhere}})
 	c.stop(p, reason)
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -231,7 +231,7 @@
 	t.attach(p)
 	j.placements.add(p)
 	c.markDirty(j, j.rowOf(t))
-	c.emit(Decision{Kind: "place", Task: p.name(), Run: run, Worker: w.ID, Reason: rankNames[t.step.occurrence.rank], Took: c.waitTime(t)})
+	c.emit(Decision{Kind: "place", Task: p.name(), Run: run, Worker: w.ID, Reason: rankNames[t.step.occurrence.rank], Took: c.waitTime(t), Expectation: c.expectation(p)})
 	c.afterStored(func() { c.handlePlacementStored(p) })
 	c.updateJob(j)
 }
--- a/internal/sched/uneven.go
+++ b/internal/sched/uneven.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"lagoonrack/internal/speed"
@@ -10,9 +11,9 @@
 // decisions. It changes nothing unless Limits.Uneven is set.
 
 const (
-	// settleTime is the time after a start in which a run's processor time says nothing about
-	// its worker: a checkpoint is restored within 600 ms, and a measurement covers as much.
-	settleTime = 1200 * time.Millisecond
+	// maxRestoreTime is how long a run may restore its checkpoint before it uses processor
+	// time.
+	maxRestoreTime = 600 * time.Millisecond
 	// slownessWeight is the weight of the expected duration of a task, as a multiple of what
 	// its queue says, against the interference that it adds and the headroom that it leaves.
 	slownessWeight = 1
@@ -20,6 +21,9 @@
 	// expected to get. Without it, the rest of each worker that no further task fits stays
 	// unused, about half a task.
 	offerFactor = 1.1
+	// speedLogInterval is the time between two logs of the estimates, which take one line for
+	// each zone and two more.
+	speedLogInterval = 10 * time.Second
 )
 
 // place returns where a worker is.
@@ -35,7 +39,7 @@
 	}
 	var asked, got int64
 	for _, p := range w.placements.list {
-		if s := p.task.step; s.Fills && p.listedIn == c.listCount && p.stopReason == "" && c.now-p.confirmedAt >= settleTime {
+		if s := p.task.step; s.Fills && p.listedIn == c.listCount && p.stopReason == "" && c.now-p.confirmedAt >= settleTime(p) {
 			asked += s.Size.Cores
 			got += p.measured
 		}
@@ -46,6 +50,16 @@
 	w.shareAt = c.now
 }
 
+// settleTime returns for how long after its start a run's processor time says nothing about its
+// worker. It must be less than the time after which a starved run is moved, or that would leave
+// no evidence.
+func settleTime(p *placement) time.Duration {
+	if p.checkpoint == "" {
+		return measurementWindow
+	}
+	return measurementWindow + maxRestoreTime
+}
+
 // observeSpeed records the speed of a successful run that did a whole task.
 func (c *Core) observeSpeed(p *placement) {
 	t := p.task
@@ -77,7 +91,7 @@
 	if !c.limits.Uneven {
 		return idle
 	}
-	return int64(offerFactor * c.speeds.Of(c.now, w.place()).Share * float64(idle))
+	return int64(offerFactor * c.estimate(w).Share * float64(idle))
 }
 
 // slowness returns what speaks against a worker for a best-effort task of a step because runs
@@ -105,13 +119,14 @@
 		left = whole
 	}
 	wait, elsewhere := c.expectedElsewhere(p, left)
-	if speed.MovePays(stays, wait, elsewhere) {
+	p.staysFor, p.elsewhere = stays, speed.Move(wait, elsewhere)
+	if speed.MovePays(stays, p.elsewhere) {
 		return true
 	}
 	p.starvedSince = c.now
 	if !p.stayLogged {
 		p.stayLogged = true
-		c.emit(Decision{Kind: "stay", Task: p.name(), Run: p.run, Worker: w.ID, Reason: "starved", Took: stays})
+		c.emit(Decision{Kind: "stay", Task: p.name(), Run: p.run, Worker: w.ID, Reason: "starved", Took: stays, Expectation: Expectation{Needs: p.elsewhere}})
 	}
 	return false
 }
@@ -133,3 +148,84 @@
 	}
 	return wait, end
 }
+
+// expectation returns what is expected of a run that is placed now.
+func (c *Core) expectation(p *placement) Expectation {
+	s, w := p.task.step, p.worker
+	if !c.limits.Uneven || !s.Fills {
+		return Expectation{}
+	}
+	usual, _ := c.runTimes.estimate(s.job.Queue, s.Step)
+	_, left := c.expectedWork(p.task, usual)
+	e := c.estimate(w)
+	return Expectation{Needs: c.speeds.End(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores)), Speed: e.Speed, Share: e.Share}
+}
+
+// SpeedCensus sums up what is learned of the ready workers. It is zero unless Limits.Uneven is
+// set.
+type SpeedCensus struct {
+	// Slowest, Median and Fastest are speeds, LeastShare and MedianShare shares of the
+	// processor time expected for best-effort runs.
+	Slowest, Median, Fastest, LeastShare, MedianShare float64
+	// MedianAge is the median time since the newest evidence about the speed of a worker.
+	MedianAge time.Duration
+}
+
+// speedCensus returns the sum of what is learned.
+func (c *Core) speedCensus() SpeedCensus {
+	workers := c.schedulableWorkers()
+	if !c.limits.Uneven || len(workers) == 0 {
+		return SpeedCensus{}
+	}
+	var speeds, shares []float64
+	var ages []time.Duration
+	for _, w := range workers {
+		e := c.estimate(w)
+		speeds, shares, ages = append(speeds, e.Speed), append(shares, e.Share), append(ages, e.Age)
+	}
+	slices.Sort(speeds)
+	slices.Sort(shares)
+	slices.Sort(ages)
+	middle := len(workers) / 2
+	return SpeedCensus{
+		Slowest: speeds[0], Median: speeds[middle], Fastest: speeds[len(speeds)-1],
+		LeastShare: shares[0], MedianShare: shares[middle], MedianAge: ages[middle],
+	}
+}
+
+// noteSpeeds logs the estimates of the zones, of the slowest worker and of that where
+// best-effort runs get the least.
+func (c *Core) noteSpeeds() {
+	if !c.limits.Uneven || c.now-c.speedsLoggedAt < speedLogInterval {
+		return
+	}
+	c.speedsLoggedAt = c.now
+	zones := map[string]bool{}
+	var slowest, least *worker
+	for _, w := range c.schedulableWorkers() {
+		zones[w.Zone] = true
+		if slowest == nil || c.estimate(w).Speed < c.estimate(slowest).Speed {
+			slowest = w
+		}
+		if least == nil || c.estimate(w).Share < c.estimate(least).Share {
+			least = w
+		}
+	}
+	for _, z := range sortedKeys(zones) {
+		e := c.speeds.OfZone(c.now, z)
+		c.emit(Decision{Kind: "speed", Reason: "zone", Took: e.Age, Expectation: Expectation{Zone: z, Speed: e.Speed, Share: e.Share}})
+	}
+	if slowest != nil {
+		c.emitSpeed(slowest, "slowest")
+		c.emitSpeed(least, "least")
+	}
+}
+
+// emitSpeed logs the estimates of a worker.
+func (c *Core) emitSpeed(w *worker, reason string) {
+	e := c.estimate(w)
+	c.emit(Decision{Kind: "speed", Worker: w.ID, Reason: reason, Took: e.Age, Expectation: Expectation{Zone: w.Zone, Speed: e.Speed, Share: e.Share}})
+}
+
+// estimate returns what is expected of a worker.
+func (c *Core) estimate(w *worker) speed.Estimate { return c.speeds.Of(c.now, w.place()) }
--- a/internal/sched/uneven_test.go
+++ b/internal/sched/uneven_test.go
@@ -762,3 +762,39 @@
 		})
 	}
 }
+
+// An operator could not see on what a placement or a move was based, nor how old that was.
+// Without the setting, nothing is logged or shown that was not before.
+func TestEstimatesAreShown(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		t.Run(fmt.Sprint("uneven=", on), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newStarvedCell(sched.Limits{Uneven: on}, 1, 1)
+			s.advance(12 * time.Second)
+			kinds, weighed := map[string]int{}, 0
+			for _, d := range s.decisions {
+				kinds[d.Kind+" "+d.Reason]++
+				if d.Expectation != (sched.Expectation{}) {
+					weighed++
+				}
+				if d.Kind == "move" && on {
+					g.Expect(d.Took).To(BeNumerically(">", d.Needs), "what the run would need if it stayed")
+				}
+			}
+			g.Expect(kinds["move starved"]).To(BeNumerically(">", 0))
+			c := s.core.Census()
+			if !on {
+				g.Expect(weighed).To(BeZero())
+				g.Expect(c.SpeedCensus).To(Equal(sched.SpeedCensus{}))
+				return
+			}
+			g.Expect(weighed).To(BeNumerically(">", kinds["move starved"]))
+			g.Expect(kinds["speed zone"]).To(Equal(1))
+			g.Expect(kinds["speed slowest"]).To(Equal(1))
+			g.Expect(kinds["speed least"]).To(Equal(1))
+			g.Expect(c.Median).To(Equal(1.0))
+			g.Expect(c.LeastShare).To(BeNumerically("<", 1))
+			g.Expect(c.MedianAge).To(Equal(90 * time.Second))
+		})
+	}
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -314,6 +314,7 @@
 	}
 	c.forgetWorkers()
 	c.speeds.Trim(c.now)
+	c.noteSpeeds()
 	c.dropFinishedJobs()
 	c.updateAdmission()
 	c.updateBacklog()
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -177,10 +177,7 @@
 		speed = e.speed.with(now, speed, speedPrior, speedHalfLife)
 		share = e.share.with(now, share, sharePrior, shareHalfLife)
 	})
-	w.combined = Estimate{Speed: math.Exp(speed), Share: max(minShare, share), Age: maxAge}
-	if w.speed.weight > 0 {
-		w.combined.Age = min(maxAge, now-w.speed.at)
-	}
+	w.combined = Estimate{Speed: math.Exp(speed), Share: max(minShare, share), Age: w.age(now)}
 	w.combinedAt, w.known = now, true
 	return w.combined
 }
@@ -206,10 +203,32 @@
 	return min(recovers, time.Duration(float64(left)/(e.Speed*max(minShare, present))))
 }
 
+// Move returns how long a run needs that is moved, given how long it waits for another worker and
+// needs there.
+func Move(wait, end time.Duration) time.Duration { return stopTime + wait + restoreTime + end }
+
 // MovePays reports whether a run should be moved that is expected to need the time stays where
-// it is, and the time elsewhere, after a wait, on another worker.
-func MovePays(stays, wait, elsewhere time.Duration) bool {
-	return float64(stopTime+wait+restoreTime+elsewhere) < (1-moveMargin)*float64(stays)
+// it is, and the time moved otherwise.
+func MovePays(stays, moved time.Duration) bool {
+	return float64(moved) < (1-moveMargin)*float64(stays)
+}
+
+// OfZone returns what is expected of a zone.
+func (t *Table) OfZone(now time.Duration, zone string) Estimate {
+	e := entryOf(&t.zones, zone)
+	return Estimate{
+		Speed: math.Exp(e.speed.with(now, 0, speedPrior, speedHalfLife)),
+		Share: max(minShare, e.share.with(now, 1, sharePrior, shareHalfLife)),
+		Age:   e.age(now),
+	}
+}
+
+// age returns the time since the newest evidence about the speed, or the maximum.
+func (e *entry) age(now time.Duration) time.Duration {
+	if e.speed.weight == 0 {
+		return maxAge
+	}
+	return min(maxAge, now-e.speed.at)
 }
 
 // Trim forgets the workers, racks and zones of which all evidence is too old to count.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -38,6 +38,8 @@
 	g.Expect(of(slow)).To(BeNumerically("~", 0.5, 0.05))
 	g.Expect(of(mate)).To(BeNumerically("~", 0.5, 0.1))
 	g.Expect(of(other)).To(And(BeNumerically(">", of(mate)), BeNumerically("<", 0.7)))
+	g.Expect(tab.OfZone(now, "z1")).To(And(HaveField("Speed", BeNumerically("<", 0.7)), HaveField("Age", time.Duration(0))))
+	g.Expect(tab.OfZone(now, "z2")).To(Equal(speed.Estimate{Speed: 1, Share: 1, Age: 90 * time.Second}))
 	g.Expect(of(far)).To(Equal(1.0), "the rack of another zone has the same name")
 }
 
@@ -112,10 +114,11 @@
 // A move costs the time to stop and to restore a checkpoint.
 func TestMovePaysOnlyIfTheRunEndsEarlier(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(speed.MovePays(2*time.Second, 0, 2*time.Second)).To(BeFalse())
-	g.Expect(speed.MovePays(2*time.Second, 0, 1700*time.Millisecond)).To(BeFalse())
-	g.Expect(speed.MovePays(4*time.Second, 0, 2*time.Second)).To(BeTrue())
-	g.Expect(speed.MovePays(4*time.Second, 3*time.Second, 2*time.Second)).To(BeFalse(), "it would wait for a worker")
+	pays := func(stays, wait, end time.Duration) bool { return speed.MovePays(stays, speed.Move(wait, end)) }
+	g.Expect(pays(2*time.Second, 0, 2*time.Second)).To(BeFalse())
+	g.Expect(pays(2*time.Second, 0, 1700*time.Millisecond)).To(BeFalse())
+	g.Expect(pays(4*time.Second, 0, 2*time.Second)).To(BeTrue())
+	g.Expect(pays(4*time.Second, 3*time.Second, 2*time.Second)).To(BeFalse(), "it would wait for a worker")
 }
 
 // Tasks that wait long elsewhere make a move less useful.
--- a/internal/tally/catalogue.go
+++ b/internal/tally/catalogue.go
@@ -73,6 +73,9 @@
 		{"lagoon_tasks", "gauge", "state", "entry", "Tasks that are placed on a worker and tasks that wait for placement, at the owner."},
 		{"lagoon_tasks_held", "gauge", "reason", "entry", "Tasks that wait for over a second although a worker has the capacity, by reason, among the first ones in the order of scheduling: label (no worker has it), advice (the advisor has not answered), refused (the advisor allows no such worker), moving, avoided (moved off the only worker), suspect (only suspect workers), spread (tasks of a step have to be apart), headroom (latency-critical tasks would suffer), gang (not all members fit)."},
 		{"lagoon_worker_errors_total", "counter", "step", "agent", "Calls to the worker that failed."},
+		{"lagoon_worker_share", "gauge", "of", "entry", "Least and median share of the CPU time expected for them that best-effort runs of a worker get, as estimated by the owner; 0 unless fleet.uneven is set."},
+		{"lagoon_worker_speed", "gauge", "of", "entry", "Speed of the slowest, median and fastest worker relative to what the run times of the queues say, as estimated by the owner; 0 unless fleet.uneven is set."},
+		{"lagoon_worker_speed_age_seconds", "gauge", "", "entry", "Median time since the newest evidence about the speed of a worker, at most 90; 0 unless fleet.uneven is set."},
 		{"lagoon_workers", "gauge", "state", "entry", "Workers by their state at the owner: ready, leaving (draining), cut (the agent can't reach the worker), suspect (runs fail or stall), silent (the agent is unresponsive)."},
 	}
 }
