--- a/internal/sched/besteffort.go
+++ b/internal/sched/besteffort.go
@@ -242,7 +242,7 @@
 		if !s.Saves {
 			timeout = starvedNoCheckpointTimeout
 		}
-		if p.starvedSince == 0 || p.stopReason != "" || s.Gang || c.now-max(p.starvedSince, p.confirmedAt) < timeout || !c.movePays(p) {
+		if p.starvedSince == 0 || p.stopReason != "" || s.Gang || c.now-max(p.starvedSince, p.confirmedAt) < timeout {
 			continue
 		}
 		c.stopAndAvoid(p, "starved")
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -120,7 +120,7 @@
 // Expectation is what a decision by the learned speeds is based on. It is zero for all others.
 type Expectation struct {
 	// Needs is how long the run is expected to need on the worker that it is placed on, or on
-	// another one if it stays or is moved.
+	// another one if it is moved.
 	Needs time.Duration
 	// Zone, Speed and Share are the estimates of a zone or of the worker.
 	Zone         string
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -212,7 +212,6 @@
 // stored.
 func (c *Core) place(t *task, w *worker, run int64) {
 	t.lastRun = run
-	c.observeWait(t)
 	p := newPlacement(t, run, w)
 	if t.step.job.inForce.Advised {
 		p.ticket, _ = c.ticket(t.step, w)
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -121,11 +121,9 @@
 	// starvedSince is when a best-effort run began to get little of the processor
 	// time that it asks for, or 0.
 	starvedSince time.Duration
-	// staysFor is how long a starved run was last expected to need where it is, and elsewhere
-	// how long on another worker with the move. Both are 0 unless that was weighed.
+	// staysFor is how long the run was last expected to need where it is, and elsewhere how
+	// long on another worker with the move. Both are 0 unless that was weighed.
 	staysFor, elsewhere time.Duration
-	// stayLogged says that it was logged that the run stays although it is starved.
-	stayLogged bool
 	// percentSince is when the worker first listed the present percent.
 	percentSince time.Duration
 	// missedLists counts the lists without the run since it was last listed.
--- a/internal/sched/uneven.go
+++ b/internal/sched/uneven.go
@@ -22,12 +22,10 @@
 	// expected to get. Without it, the rest of each worker that no further task fits stays
 	// unused, about half a task.
 	offerFactor = 1.1
-	// starvedMargin is the share of its remaining time that a starved run must gain by a move,
-	// because the estimates err, and slowMargin the same for a run that is not starved. With
-	// 0.2 for the latter, twice as many runs were moved as with 0.3, for the same result; with
+	// slowMargin is the share of its remaining time that a run must gain by leaving a slow
+	// worker. With 0.2, twice as many runs were moved as with 0.3, for the same result; with
 	// 0.5, callers gained half as much.
-	starvedMargin = 0.1
-	slowMargin    = 0.3
+	slowMargin = 0.3
 	// slowInterval is the time between two looks for runs on slow workers. slowMaxChecks
 	// bounds the runs that are compared with all workers in one look, and slowMaxMoves those
 	// that are moved. With four, callers gained no more than with two.
@@ -83,14 +81,6 @@
 	c.speeds.ObserveSpeed(c.now, p.worker.place(), usual.Seconds()/t.workDone.Seconds())
 }
 
-// observeWait records how long a best-effort task has waited that is placed again. The tasks of
-// jobs that have begun come first, so they wait less than others.
-func (c *Core) observeWait(t *task) {
-	if c.limits.Uneven && t.step.Fills && t.lastRun > 1 {
-		c.speeds.ObserveWait(c.now, c.waitTime(t))
-	}
-}
-
 // expectedShare returns the share of what they ask for that the best-effort tasks on a worker
 // would get if they got the idle processor time, given how much they ask for.
 func (c *Core) expectedShare(w *worker, asked int64) float64 {
@@ -117,36 +107,11 @@
 	return slownessWeight * c.speeds.End(c.now, w.place(), time.Second, share).Seconds()
 }
 
-// movePays reports whether a starved run is to be moved. If Limits.Uneven is set, it is moved
-// only if it is expected to end earlier on another worker.
-func (c *Core) movePays(p *placement) bool {
-	if !c.limits.Uneven {
-		return true
-	}
-	left, again := c.workLeft(p)
-	wait, end := c.expectedElsewhere(p, again)
-	p.staysFor, p.elsewhere = c.staysFor(p, left), speed.Move(wait, end)
-	if speed.MovePays(p.staysFor, p.elsewhere, starvedMargin) {
-		return true
-	}
-	p.starvedSince = c.now
-	if !p.stayLogged {
-		p.stayLogged = true
-		c.emit(Decision{Kind: "stay", Task: p.name(), Run: p.run, Worker: p.worker.ID, Reason: "starved", Took: p.staysFor, Expectation: Expectation{Needs: p.elsewhere}})
-	}
-	return false
-}
-
-// workLeft returns the expected work of a run that is left, and what is left if it starts again,
-// both at full speed.
-func (c *Core) workLeft(p *placement) (left, again time.Duration) {
-	s := p.task.step
-	usual, _ := c.runTimes.estimate(s.job.Queue, s.Step)
-	whole, left := c.expectedWork(p.task, usual)
-	if s.Saves {
-		return left, left
-	}
-	return left, whole
+// workLeft returns the expected work of a task that is left, as a duration at full speed.
+func (c *Core) workLeft(t *task) time.Duration {
+	usual, _ := c.runTimes.estimate(t.step.job.Queue, t.step.Step)
+	_, left := c.expectedWork(t, usual)
+	return left
 }
 
 // staysFor returns how long a run with the given work left is expected to need where it is.
@@ -178,15 +143,15 @@
 			if s := p.task.step; !s.Fills || !s.Saves || s.Gang || !p.stored || !p.confirmed || p.stopReason != "" || c.now-p.confirmedAt < settleTime(p) {
 				continue
 			}
-			left, _ := c.workLeft(p)
-			p.staysFor, p.elsewhere = c.staysFor(p, left), speed.Move(0, time.Duration(float64(left)/fastest))
+			left := c.workLeft(p.task)
+			p.staysFor, p.elsewhere = c.staysFor(p, left), speed.Move(time.Duration(float64(left)/fastest))
 			if !speed.MovePays(p.staysFor, p.elsewhere, slowMargin) {
 				continue // Not even the fastest worker would pay.
 			}
 			checks--
-			wait, end := c.expectedElsewhere(p, left)
-			p.elsewhere = speed.Move(wait, end)
-			if wait == 0 && speed.MovePays(p.staysFor, p.elsewhere, slowMargin) {
+			end, ok := c.soonestElsewhere(p, left)
+			p.elsewhere = speed.Move(end)
+			if ok && speed.MovePays(p.staysFor, p.elsewhere, slowMargin) {
 				c.stopAndAvoid(p, "slow")
 				moves--
 			}
@@ -194,22 +159,19 @@
 	}
 }
 
-// expectedElsewhere returns how long the task of a run would wait for another worker, and how
-// long it would need there for the given work at full speed.
-func (c *Core) expectedElsewhere(p *placement, left time.Duration) (wait, end time.Duration) {
+// soonestElsewhere returns how long a run with the given work left is expected to need on the
+// best of the other workers that can take it now. It returns false if there is none.
+func (c *Core) soonestElsewhere(p *placement, left time.Duration) (soonest time.Duration, ok bool) {
 	s := p.task.step
-	wait, end = c.speeds.Wait(c.now), left
-	found := false
 	for _, w := range c.candidates(s, c.schedulableWorkers()) {
 		if w == p.worker || c.suspect(w) || !c.fits(p.task, w) {
 			continue
 		}
-		e := c.speeds.End(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores+s.Size.Cores))
-		if !found || e < end {
-			wait, end, found = 0, e, true
+		if end := c.speeds.End(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores+s.Size.Cores)); !ok || end < soonest {
+			soonest, ok = end, true
 		}
 	}
-	return wait, end
+	return soonest, ok
 }
 
 // expectation returns what is expected of a run that is placed now.
@@ -218,10 +180,8 @@
 	if !c.limits.Uneven || !s.Fills {
 		return Expectation{}
 	}
-	usual, _ := c.runTimes.estimate(s.job.Queue, s.Step)
-	_, left := c.expectedWork(p.task, usual)
 	e := c.estimate(w)
-	return Expectation{Needs: c.speeds.End(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores)), Speed: e.Speed, Share: e.Share}
+	return Expectation{Needs: c.speeds.End(c.now, w.place(), c.workLeft(p.task), c.expectedShare(w, w.bestEffortCores)), Speed: e.Speed, Share: e.Share}
 }
 
 // SpeedCensus sums up what is learned of the ready workers. It is zero unless Limits.Uneven is
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -19,8 +19,6 @@
 // Table holds the estimates. The zero value is ready to use.
 type Table struct {
 	workers, racks, zones map[string]*entry
-	// wait is the mean wait of the best-effort tasks that were placed again last, in seconds.
-	wait average
 }
 
 // Place is where a run is.
@@ -61,7 +59,6 @@
 	// latency-critical tasks swings with a period of 14 s.
 	speedHalfLife = 15 * time.Second
 	shareHalfLife = 3 * time.Second
-	waitHalfLife  = 3 * time.Second
 	// maxAge is the age at which evidence counts for nothing any more. At six half-lives,
 	// 1/64 of its weight is left.
 	maxAge = 90 * time.Second
@@ -70,9 +67,6 @@
 	// are off by a factor of up to 1.9. The share is a sum over all best-effort runs.
 	speedPrior = 4
 	sharePrior = 1
-	// waitPrior is the weight, and initialWait the value, of the assumed wait in seconds.
-	waitPrior   = 1
-	initialWait = 1
 	// maxRatio bounds an observed speed and its inverse, so that a task that takes seven
 	// times as long as others does not make its worker slow.
 	maxRatio = 2.5
@@ -152,17 +146,6 @@
 	t.each(p, func(e *entry) { e.share.add(now, v, weight, shareHalfLife) })
 }
 
-// ObserveWait records how long a best-effort task has waited for another worker.
-func (t *Table) ObserveWait(now, wait time.Duration) {
-	t.wait.add(now, wait.Seconds(), 1, waitHalfLife)
-}
-
-// Wait returns how long a task that is moved is expected to wait for a worker if none can take it
-// at once.
-func (t *Table) Wait(now time.Duration) time.Duration {
-	return time.Duration(t.wait.with(now, initialWait, waitPrior, waitHalfLife) * float64(time.Second))
-}
-
 // Of returns what is expected of a worker.
 func (t *Table) Of(now time.Duration, p Place) Estimate {
 	w := entryOf(&t.workers, p.Worker)
@@ -200,9 +183,8 @@
 	return min(recovers, time.Duration(float64(left)/(e.Speed*max(minShare, present))))
 }
 
-// Move returns how long a run needs that is moved, given how long it waits for another worker and
-// needs there.
-func Move(wait, end time.Duration) time.Duration { return stopTime + wait + restoreTime + end }
+// Move returns how long a run needs that is moved, given how long it needs on the other worker.
+func Move(end time.Duration) time.Duration { return stopTime + restoreTime + end }
 
 // MovePays reports whether a run should be moved that is expected to need the time stays where
 // it is, and the time moved otherwise. It must gain the margin, a share of the time.
