--- a/internal/sched/uneven_test.go
+++ b/internal/sched/uneven_test.go
@@ -636,6 +636,7 @@
 // With -v, this prints the tables of docs/design/uneven.md; UNEVEN_SEEDS sets the number of
 // plays.
 func TestUnevenWorkers(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	seeds := 8
 	if n, err := strconv.Atoi(os.Getenv("UNEVEN_SEEDS")); err == nil {
