speed, sched: what a run has left does not count the speed of its worker twice

The work left of a run with known progress is extrapolated from its time on the worker, and was divided by the speed of the worker once more. A run that has a copy is not moved.

--- a/internal/sched/uneven.go
+++ b/internal/sched/uneven.go
@@ -32,6 +32,8 @@
 	slowInterval  = 200 * time.Millisecond
 	slowMaxChecks = 16
 	slowMaxMoves  = 2
+	// estimateMaxAge bounds the age of the estimate of a worker that is used again.
+	estimateMaxAge = 250 * time.Millisecond
 	// speedLogInterval is the time between two logs of the estimates, which take one line for
 	// each zone and two more.
 	speedLogInterval = 10 * time.Second
@@ -104,21 +106,25 @@
 		return 0
 	}
 	share := c.expectedShare(w, w.bestEffortCores+s.Size.Cores)
-	return slownessWeight * c.speeds.End(c.now, w.place(), time.Second, share).Seconds()
+	return slownessWeight * c.estimate(w).End(time.Second, share).Seconds()
 }
 
-// workLeft returns the expected work of a task that is left, as a duration at full speed.
-func (c *Core) workLeft(t *task) time.Duration {
-	usual, _ := c.runTimes.estimate(t.step.job.Queue, t.step.Step)
-	_, left := c.expectedWork(t, usual)
-	return left
+// workLeft returns the expected work of a run that is left, as a duration at a speed of 1.
+func (c *Core) workLeft(p *placement) time.Duration {
+	usual, _ := c.runTimes.estimate(p.task.step.job.Queue, p.task.step.Step)
+	_, left := c.expectedWork(p.task, usual)
+	if p.percent < minExtrapolatePercent {
+		return left
+	}
+	// The progress is extrapolated at the speed of the worker.
+	return time.Duration(float64(left) * c.estimate(p.worker).Speed)
 }
 
 // staysFor returns how long a run with the given work left is expected to need where it is.
 func (c *Core) staysFor(p *placement, left time.Duration) time.Duration {
 	w := p.worker
 	present := float64(p.measured) / float64(max(1, p.task.step.Size.Cores))
-	return c.speeds.EndIfStays(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores), present)
+	return c.estimate(w).EndIfStays(left, c.expectedShare(w, w.bestEffortCores), present)
 }
 
 // moveSlow moves best-effort runs with checkpoints from slow workers to others that can take
@@ -140,10 +146,10 @@
 			if checks == 0 || moves == 0 {
 				return
 			}
-			if s := p.task.step; !s.Fills || !s.Saves || s.Gang || !p.stored || !p.confirmed || p.stopReason != "" || c.now-p.confirmedAt < settleTime(p) {
+			if s := p.task.step; !s.Fills || !s.Saves || s.Gang || len(p.task.placements) > 1 || !p.confirmed || p.stopReason != "" || c.now-p.confirmedAt < settleTime(p) {
 				continue
 			}
-			left := c.workLeft(p.task)
+			left := c.workLeft(p)
 			p.staysFor, p.elsewhere = c.staysFor(p, left), speed.Move(time.Duration(float64(left)/fastest))
 			if !speed.MovePays(p.staysFor, p.elsewhere, slowMargin) {
 				continue // Not even the fastest worker would pay.
@@ -167,7 +173,7 @@
 		if w == p.worker || c.suspect(w) || !c.fits(p.task, w) {
 			continue
 		}
-		if end := c.speeds.End(c.now, w.place(), left, c.expectedShare(w, w.bestEffortCores+s.Size.Cores)); !ok || end < soonest {
+		if end := c.estimate(w).End(left, c.expectedShare(w, w.bestEffortCores+s.Size.Cores)); !ok || end < soonest {
 			soonest, ok = end, true
 		}
 	}
@@ -181,7 +187,7 @@
 		return Expectation{}
 	}
 	e := c.estimate(w)
-	return Expectation{Needs: c.speeds.End(c.now, w.place(), c.workLeft(p.task), c.expectedShare(w, w.bestEffortCores)), Speed: e.Speed, Share: e.Share}
+	return Expectation{Needs: e.End(c.workLeft(p), c.expectedShare(w, w.bestEffortCores)), Speed: e.Speed, Share: e.Share}
 }
 
 // SpeedCensus sums up what is learned of the ready workers. It is zero unless Limits.Uneven is
@@ -250,5 +256,10 @@
 	c.emit(Decision{Kind: "speed", Worker: w.ID, Reason: reason, Took: e.Age, Expectation: Expectation{Zone: w.Zone, Speed: e.Speed, Share: e.Share}})
 }
 
-// estimate returns what is expected of a worker.
-func (c *Core) estimate(w *worker) speed.Estimate { return c.speeds.Of(c.now, w.place()) }
+// estimate returns what is expected of a worker. It is needed for each candidate of each step.
+func (c *Core) estimate(w *worker) speed.Estimate {
+	if w.expected.Speed == 0 || c.now-w.expectedAt >= estimateMaxAge {
+		w.expected, w.expectedAt = c.speeds.Of(c.now, w.place()), c.now
+	}
+	return w.expected
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lagoonrack/internal/blame"
+	"lagoonrack/internal/speed"
 	"lagoonrack/internal/vect"
 	"lagoonrack/internal/work"
 )
@@ -35,6 +36,9 @@
 	bestEffortChanged time.Duration
 	// shareAt is when the processor time of the best-effort runs was last observed.
 	shareAt time.Duration
+	// expected is what was expected of the worker's speed at expectedAt.
+	expected   speed.Estimate
+	expectedAt time.Duration
 	// lastReport is when the last report arrived. leaseEnd is an upper bound of the
 	// end of every lease that the worker may hold.
 	lastReport, leaseEnd time.Duration
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -39,11 +39,6 @@
 // logarithm.
 type entry struct {
 	speed, share average
-	// combined is the estimate of a worker combined with those of its rack and zone, as of
-	// combinedAt, if known.
-	combined   Estimate
-	combinedAt time.Duration
-	known      bool
 }
 
 // average is a mean of observations whose weight halves with each half-life.
@@ -72,9 +67,6 @@
 	maxRatio = 2.5
 	// minShare is the least share that is assumed, so that no expectation is infinite.
 	minShare = 0.05
-	// refreshAfter is how long a combined estimate is used again. It is needed for each
-	// candidate of each step.
-	refreshAfter = 250 * time.Millisecond
 	// persistence is how long the processor time that a run gets stays away from its mean:
 	// a fifth of the period with which the load of latency-critical tasks swings.
 	persistence = 3 * time.Second
@@ -148,34 +140,26 @@
 
 // Of returns what is expected of a worker.
 func (t *Table) Of(now time.Duration, p Place) Estimate {
-	w := entryOf(&t.workers, p.Worker)
-	if w.known && now-w.combinedAt < refreshAfter {
-		return w.combined
-	}
 	speed, share := 0.0, 1.0
 	t.each(p, func(e *entry) {
 		speed = e.speed.with(now, speed, speedPrior, speedHalfLife)
 		share = e.share.with(now, share, sharePrior, shareHalfLife)
 	})
-	w.combined = Estimate{Speed: math.Exp(speed), Share: max(minShare, share), Age: w.age(now)}
-	w.combinedAt, w.known = now, true
-	return w.combined
+	return Estimate{Speed: math.Exp(speed), Share: max(minShare, share), Age: entryOf(&t.workers, p.Worker).age(now)}
 }
 
-// End returns how long a run with the given work left, as a duration at full speed, is expected
+// End returns how long a run with the given work left, as a duration at a speed of 1, is expected
 // to need on a worker where it would get a share of the processor time that it asks for if the
 // best-effort runs got all that is expected for them.
-func (t *Table) End(now time.Duration, p Place, left time.Duration, share float64) time.Duration {
-	e := t.Of(now, p)
+func (e Estimate) End(left time.Duration, share float64) time.Duration {
 	return time.Duration(float64(left) / (e.Speed * max(minShare, share*e.Share)))
 }
 
 // EndIfStays returns the same for a run that gets another share at present. What it gets
 // returns to what is expected.
-func (t *Table) EndIfStays(now time.Duration, p Place, left time.Duration, share, present float64) time.Duration {
-	e := t.Of(now, p)
+func (e Estimate) EndIfStays(left time.Duration, share, present float64) time.Duration {
 	usual := max(minShare, share*e.Share)
-	end := t.End(now, p, left, share)
+	end := e.End(left, share)
 	if present >= usual {
 		return end
 	}
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -92,10 +92,10 @@
 	g := NewWithT(t)
 	var tab speed.Table
 	now := observe(&tab, slow, 0.5, 50)
-	g.Expect(tab.End(now, far, time.Second, 1)).To(Equal(time.Second))
-	g.Expect(tab.End(now, far, time.Second, 0.5)).To(Equal(2 * time.Second))
-	g.Expect(tab.End(now, slow, time.Second, 1)).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
-	g.Expect(tab.End(now, far, time.Second, 0)).To(BeNumerically("<=", 20*time.Second), "no expectation is infinite")
+	g.Expect(tab.Of(now, far).End(time.Second, 1)).To(Equal(time.Second))
+	g.Expect(tab.Of(now, far).End(time.Second, 0.5)).To(Equal(2 * time.Second))
+	g.Expect(tab.Of(now, slow).End(time.Second, 1)).To(BeNumerically("~", 2*time.Second, 100*time.Millisecond))
+	g.Expect(tab.Of(now, far).End(time.Second, 0)).To(BeNumerically("<=", 20*time.Second), "no expectation is infinite")
 }
 
 // A run that gets little for the moment was moved as one that gets little for good.
@@ -103,7 +103,7 @@
 	g := NewWithT(t)
 	var tab speed.Table
 	stays := func(left time.Duration, present float64) time.Duration {
-		return tab.EndIfStays(0, far, left, 1, present)
+		return tab.Of(0, far).EndIfStays(left, 1, present)
 	}
 	g.Expect(stays(time.Second, 1)).To(Equal(time.Second))
 	g.Expect(stays(4*time.Second, 0)).To(Equal(7*time.Second), "halted, for the time in which the load swings back")
