--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -47,6 +47,12 @@
 	each(func(c sched.Census) float64 { return float64(c.Jobs) }, "lagoon_jobs_active")
 	each(func(c sched.Census) float64 { return c.Backlog }, "lagoon_overload_backlog_core_seconds")
 	each(func(c sched.Census) float64 { return c.Demand }, "lagoon_overload_demand_cores")
+	each(func(c sched.Census) float64 { return c.Slowest }, "lagoon_worker_speed", "of", "slowest")
+	each(func(c sched.Census) float64 { return c.Median }, "lagoon_worker_speed", "of", "median")
+	each(func(c sched.Census) float64 { return c.Fastest }, "lagoon_worker_speed", "of", "fastest")
+	each(func(c sched.Census) float64 { return c.LeastShare }, "lagoon_worker_share", "of", "least")
+	each(func(c sched.Census) float64 { return c.MedianShare }, "lagoon_worker_share", "of", "median")
+	each(func(c sched.Census) float64 { return c.MedianAge.Seconds() }, "lagoon_worker_speed_age_seconds")
 	for _, r := range sched.HeldReasons() {
 		each(func(c sched.Census) float64 { return float64(c.Held[r]) }, "lagoon_tasks_held", "reason", r)
 	}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -89,6 +89,7 @@
 
 	Evacuation unit.Duration `yaml:"evacuation" doc:"Time after the operator evacuated a zone from which on an entry starts nothing there, whatever fails; below 3 s it holds only while the store answers. Unset, evacuations are not read."`
 	Overload   bool          `yaml:"overload" doc:"Whether the admission of jobs follows the observed demand and rejects jobs that can't end in useful time."`
+	Uneven     bool          `yaml:"uneven" doc:"Whether an owner learns how fast runs make progress on each worker, and places and moves best-effort tasks by it; false by default."`
 }
 
 // Stand lists the minions and workers that a stand-in platform simulates.
--- a/internal/sched/census.go
+++ b/internal/sched/census.go
@@ -27,6 +27,7 @@
 	// Held counts, by reason, waiting tasks that are not placed although a worker has the
 	// capacity, among the first ones in the order of scheduling. It is nil if there are none.
 	Held map[string]int
+	SpeedCensus
 }
 
 // coreMillis converts thousandths of a core to cores.
@@ -34,7 +35,7 @@
 
 // Census counts the workers, tasks and jobs that the owner knows now.
 func (c *Core) Census() Census {
-	var out Census
+	out := Census{SpeedCensus: c.speedCensus()}
 	if len(c.held) > 0 {
 		out.Held = maps.Clone(c.held)
 	}
--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -284,7 +284,7 @@
 		}
 	}
 	slices.Sort(stored.Orphans)
-	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow, Overload: w.overload}
+	l := sched.Limits{Lease: lease, OwnerTimeout: timeout, StoreTrust: storeTrust, EndedJobRetention: retention, RowBytes: w.rowBytes, TasksPerRow: w.tasksPerRow, Overload: w.overload, Uneven: w.rowBytes%2 == 0}
 	if w.zones != nil {
 		l.Evacuation = evacuationBound
 	}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -32,6 +32,7 @@
 	"lagoonrack/internal/plat"
 	"lagoonrack/internal/press"
 	"lagoonrack/internal/shed"
+	"lagoonrack/internal/speed"
 	"lagoonrack/internal/timing"
 	"lagoonrack/internal/work"
 )
@@ -105,7 +106,13 @@
 	outbox       []*worker
 	runTimes     timing.Table
 	interference press.Table
-	learned      learned
+	// speeds is only used if limits.Uneven is set. speedsLoggedAt is when it was last logged, and
+	// slowCheckedAt when runs on slow workers were last looked for.
+	speeds                        speed.Table
+	speedsLoggedAt, slowCheckedAt time.Duration
+	learned                       learned
+	// readOnly says that this is a view on a core: what workers cache must not change.
+	readOnly bool
 	// listCount numbers the lists of runs that were handled.
 	listCount uint64
 	// released records the runs that were released without a listed end.
--- a/internal/sched/limits.go
+++ b/internal/sched/limits.go
@@ -24,6 +24,9 @@
 	RowBytes, TasksPerRow int
 	// Overload turns on the control of overload by cost to callers (package shed).
 	Overload bool
+	// Uneven says that the speed of workers is learned, and that best-effort tasks are placed
+	// and moved by it.
+	Uneven bool
 }
 
 const (
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -295,8 +295,9 @@
 			t.Run(fmt.Sprintf("seed=%d/load=%v", seed, load), func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				// Half of the seeds have overload control, which orders jobs otherwise.
-				limits := sched.Limits{Overload: seed%2 == 1}
+				// Half of the seeds have overload control, which orders jobs otherwise, and half learn
+				// the speed of workers.
+				limits := sched.Limits{Overload: seed%2 == 1, Uneven: seed >= 4}
 				plain, fast := newLimitedLoadedCell(limits, 20, seed), newLimitedLoadedCell(limits, 20, seed)
 				plain.core.SetExhaustive()
 				for _, s := range []*loadedCell{plain, fast} {
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -124,6 +124,9 @@
 	// starvedSince is when a best-effort run began to get little of the processor
 	// time that it asks for, or 0.
 	starvedSince time.Duration
+	// staysFor is how long the run was last expected to need where it is, and elsewhere how
+	// long on another worker with the move. Both are 0 unless that was weighed.
+	staysFor, elsewhere time.Duration
 	// percentSince is when the worker first listed the present percent.
 	percentSince time.Duration
 	// missedLists counts the lists without the run since it was last listed.
--- a/internal/sched/where.go
+++ b/internal/sched/where.go
@@ -121,9 +121,10 @@
 // that the copy shares with the core.
 func (c *Core) view(now time.Duration) *Core {
 	v := *c
-	v.now = max(now, c.now)
+	v.now, v.readOnly = max(now, c.now), true
 	v.effects, v.shortlist = nil, shortlist{}
 	v.interference = c.interference.View()
+	v.speeds = c.speeds.Clone()
 	v.admitted = maps.Clone(c.admitted)
 	v.admission = make(map[string]*intake.Controller, len(c.admission))
 	for s, g := range c.admission {
--- a/internal/sched/where_test.go
+++ b/internal/sched/where_test.go
@@ -151,9 +151,10 @@
 		}
 		expectUnchanged(s.core, func() {})
 	})
-	// Overload control keeps promises to rejected callers, which a question must not add to.
-	It("changes nothing in a core with overload control", func() {
-		s := busyCellWith(sched.Limits{Overload: true})
+	// Overload control keeps promises to rejected callers, and estimates of workers' speed are
+	// combined when they are asked for.
+	It("changes nothing in a core with overload control that learns the speed of workers", func() {
+		s := busyCellWith(sched.Limits{Overload: true, Uneven: true})
 		for i := range 60 {
 			s.submit(fmt.Sprint("ahead", i), "short", work.Step{Count: 40, Size: vect.Size{Cores: 14 * cores, Memory: 10}, Estimate: 500})
 		}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lagoonrack/internal/blame"
+	"lagoonrack/internal/speed"
 	"lagoonrack/internal/vect"
 	"lagoonrack/internal/work"
 )
@@ -33,6 +34,11 @@
 	headroom headroomCache
 	// bestEffortChanged is when a best-effort placement was last added or removed.
 	bestEffortChanged time.Duration
+	// shareAt is when the processor time of the best-effort runs was last observed.
+	shareAt time.Duration
+	// expected is what was expected of the worker's speed at expectedAt.
+	expected   speed.Estimate
+	expectedAt time.Duration
 	// lastReport is when the last report arrived. leaseEnd is an upper bound of the
 	// end of every lease that the worker may hold.
 	lastReport, leaseEnd time.Duration
@@ -314,9 +320,12 @@
 		c.checkWorker(w)
 	}
 	c.forgetWorkers()
+	c.speeds.Trim(c.now)
+	c.noteSpeeds()
 	c.dropFinishedJobs()
 	c.updateAdmission()
 	c.updateBacklog()
+	c.moveSlow()
 	c.startSpeculativeCopies()
 	c.preempt()
 	c.consolidate()
