--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -69,12 +69,8 @@
 	longShare      = 0.3
 )
 
-// newLoadedCell returns a cell whose long-running jobs take longShare of all cores.
-func newLoadedCell(workers int, seed uint64) *loadedCell {
-	return newLimitedLoadedCell(sched.Limits{}, workers, seed)
-}
-
-// newLimitedLoadedCell returns such a cell whose owner has the given limits.
+// newLimitedLoadedCell returns a cell whose long-running jobs take longShare of all cores and
+// whose owner has the given limits.
 func newLimitedLoadedCell(limits sched.Limits, workers int, seed uint64) *loadedCell {
 	s := &loadedCell{rng: rand.New(rand.NewPCG(seed, uint64(workers))), byAgent: map[string]*loadedNode{}, cancels: map[string]time.Duration{}}
 	cfg := &work.Config{Version: 1, Queues: []work.Queue{
@@ -325,7 +321,7 @@
 				var cost time.Duration
 				starts := 0
 				for range b.N {
-					s := newLoadedCell(workers, 1)
+					s := newLimitedLoadedCell(sched.Limits{}, workers, 1)
 					s.cost, s.starts = 0, 0
 					s.play(played, load)
 					cost += s.cost
@@ -335,7 +331,7 @@
 				b.ReportMetric(cost.Seconds()/played.Seconds()/float64(b.N), "cores")
 				b.ReportMetric(float64(starts)/played.Seconds()/float64(b.N), "starts/s")
 				b.ReportMetric(0, "ns/op")
-				s := newLoadedCell(workers, 1)
+				s := newLimitedLoadedCell(sched.Limits{}, workers, 1)
 				s.play(time.Second, load)
 				s.starts, s.allocs, s.countAllocs = 0, 0, workers <= 60
 				s.play(time.Second, load)
--- a/internal/sched/where_test.go
+++ b/internal/sched/where_test.go
@@ -343,7 +343,7 @@
 // its work for long. Allocations are counted because, unlike times, they don't depend on the machine.
 func TestWhereCostIsBounded(t *testing.T) {
 	g := NewWithT(t)
-	s := newLoadedCell(1000, 1)
+	s := newLimitedLoadedCell(sched.Limits{}, 1000, 1)
 	s.play(time.Second, 0.95)
 	j := newJob("new", "fill", work.Step{Count: 20, Size: vect.Size{Cores: 3500, Memory: 100}, Fills: true, Image: "fill-1", Estimate: 2000})
 	j.Steps = slices.Repeat(j.Steps, 50)
@@ -361,7 +361,7 @@
 func BenchmarkWhere(b *testing.B) {
 	for _, workers := range []int{240, 1000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			s := newLoadedCell(workers, 1)
+			s := newLimitedLoadedCell(sched.Limits{}, workers, 1)
 			s.play(2*time.Second, 0.95)
 			step := work.Step{Count: 20, Size: vect.Size{Cores: 3500, Memory: 100}, Fills: true, Image: "fill-1", Estimate: 2000}
 			j := work.Job{ID: "new", Queue: "fill", Service: "s", Steps: []work.Step{step, step, step, step}}
