--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -34,6 +34,7 @@
 	"lagoonrack/internal/shed"
 	"lagoonrack/internal/speed"
 	"lagoonrack/internal/timing"
+	"lagoonrack/internal/wall"
 	"lagoonrack/internal/work"
 )
 
@@ -43,9 +44,9 @@
 	term   uint64
 	now    time.Duration
 	// storeOffset is the reading of the store's clock at time zero of the owner's
-	// clock, and wallClock the estimated time of day.
+	// clock, and wallClock the time of day by that clock, which the next owner takes over.
 	storeOffset time.Duration
-	wallClock   timeEstimate
+	wallClock   wall.Clock
 
 	jobs map[string]*job
 	// active lists the jobs that are not finished or still have placements, in
--- a/internal/sched/learned.go
+++ b/internal/sched/learned.go
@@ -60,7 +60,7 @@
 func (c *Core) restoreLearned(rows map[string][]byte) {
 	c.learned.Estimates = saved.Estimates{
 		Key: LearnedKey, PageBytes: min(learnedPageBytes, c.limits.rowBytes()/2),
-		RunTimes: &c.runTimes, Interference: &c.interference, Clock: &c.wallClock.Clock,
+		RunTimes: &c.runTimes, Interference: &c.interference, Clock: &c.wallClock,
 	}
 	unusable, errs := c.learned.Restore(rows, c.storeOffset)
 	for _, key := range unusable {
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -29,7 +29,7 @@
 	if j.Times <= 0 {
 		return j.acceptedAt
 	}
-	wallClock, ok := c.wallClock.at(c.now)
+	wallClock, ok := c.wallClock.At(c.now)
 	if !ok {
 		return c.now
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -10,7 +10,7 @@
 
 // noteDueOccurrences records the timed jobs of which an occurrence has become due.
 func (c *Core) noteDueOccurrences() {
-	wallClock, ok := c.wallClock.at(c.now)
+	wallClock, ok := c.wallClock.At(c.now)
 	if !ok || wallClock.Milliseconds() < c.nextDue {
 		return
 	}
@@ -65,7 +65,7 @@
 		}
 		return
 	}
-	wallClock, ok := c.wallClock.at(c.now)
+	wallClock, ok := c.wallClock.At(c.now)
 	if !ok {
 		return
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -9,6 +9,7 @@
 	"lagoonrack/internal/blame"
 	"lagoonrack/internal/speed"
 	"lagoonrack/internal/vect"
+	"lagoonrack/internal/wall"
 	"lagoonrack/internal/work"
 )
 
@@ -180,7 +181,7 @@
 	switch {
 	case w.reportArrived > 0 && reportID.Process == w.reportID.Process:
 		// Clocks drift slightly, so the minimum has to grow with time.
-		least := min(transit, w.minTransit+time.Duration(slewRate*float64(now-w.reportArrived)))
+		least := min(transit, w.minTransit+time.Duration(wall.SlewRate*float64(now-w.reportArrived)))
 		if reportID.Sent < w.reportID.Sent {
 			return transit - least, false
 		}
