--- a/internal/sched/chaosqueue_test.go
+++ b/internal/sched/chaosqueue_test.go
@@ -270,3 +270,17 @@
 func TestChaosQueues(t *testing.T) {
 	runSequences(t, sequenceCount(t, sequences), variant{queues: true})
 }
+
+// unevenQueueSeed failed in TestChaosQueues when half of its worlds learned the speed of workers:
+// a job with an advisor and tasks that fail has not ended at the end of the calm period.
+const unevenQueueSeed = 94517
+
+// TestChaosUnevenQueues runs the sequences of TestChaosQueues with owners of which half learn the
+// speed of workers.
+func TestChaosUnevenQueues(t *testing.T) {
+	v := variant{queues: true, uneven: true}
+	if failure := runSequence(t, unevenQueueSeed, v); failure != "" {
+		t.Errorf("seed %d: %s", unevenQueueSeed, failure)
+	}
+	runSequences(t, sequenceCount(t, sequences), v)
+}
