sched: lagoonctl where counts the processor time that is offered, as placement does

With fleet.uneven, placement offers best-effort tasks 1.1 times the idle processor time, times the learned share; the explanation still went by the idle time. Without the setting both are the same. The comment of speed.Table.Clone named a cache that is gone. Run: formatter, vet and linter of both packages, speed, and the specs and the tests of where and uneven in sched.

--- a/internal/sched/where.go
+++ b/internal/sched/where.go
@@ -173,7 +173,7 @@
 			n.Score -= failedWeight
 		}
 		if s.Fills {
-			n.Idle, n.Headroom, n.Margin = c.idleCores(w)-w.bestEffortCores, o.headroom, c.requiredMargin(t)
+			n.Idle, n.Headroom, n.Margin = c.offeredCores(w)-w.bestEffortCores, o.headroom, c.requiredMargin(t)
 		}
 		n.Room = c.roomOn(s, w)
 	}
@@ -216,7 +216,7 @@
 		n = min(n, int64(s.Apart-s.countOn(w)))
 	}
 	if s.Fills && s.Size.Cores > 0 {
-		n = min(n, max(1, (c.idleCores(w)-w.bestEffortCores)/s.Size.Cores))
+		n = min(n, max(1, (c.offeredCores(w)-w.bestEffortCores)/s.Size.Cores))
 	}
 	if c.suspect(w) {
 		n = min(n, 1)
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -118,8 +118,8 @@
 	do(entryOf(&t.workers, p.Worker))
 }
 
-// Clone returns a copy that shares nothing with t: estimates are combined and kept when they are
-// asked for.
+// Clone returns a copy that shares nothing with t. Asking for an estimate adds the entries that
+// are missing, so a reader that must change nothing asks a copy.
 func (t *Table) Clone() Table {
 	c := *t
 	for _, m := range []*map[string]*entry{&c.workers, &c.racks, &c.zones} {
