Review case 15: jobs placed on minions that are cut off aren't given as pending

Cause: a job leaves the count of pending jobs when a task is placed, not when one has started.

The check is MIXED (pending under half of the jobs that wait).

--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -15,6 +15,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lagoonrack/platform/fake"
@@ -62,6 +63,8 @@
 	*fake.Minion
 	control, zone, rack string
 	quit                chan struct{}
+	// cutUntil is when a cut of the minion from all machines ends, in Unix nanoseconds.
+	cutUntil atomic.Int64
 
 	mu sync.Mutex
 	// begun has the time of each start, by task, and running the tasks that run.
@@ -200,6 +203,7 @@
 		quit: make(chan struct{}), begun: map[string][]time.Time{}, running: map[string]bool{},
 	}
 	m.OnEvent = func(e fake.Event) { f.onEvent(m, e) }
+	m.OnCall = m.callFault
 	f.minions = append(f.minions, m)
 }
 
@@ -218,11 +222,22 @@
 	}
 }
 
+// callFault holds the calls to a minion that is cut off until the cut is over, and loses them.
+func (m *minion) callFault() fake.CallFault {
+	until := time.Until(time.Unix(0, m.cutUntil.Load()))
+	if until <= 0 {
+		return fake.CallFault{}
+	}
+	time.Sleep(until)
+	return fake.CallFault{Lost: true}
+}
+
 var heartbeatClient = &http.Client{Timeout: time.Second}
 
 // loopHeartbeats sends the minion's heartbeats to the agent on its machine.
 func (m *minion) loopHeartbeats() {
 	for n := 1; ; n++ {
+		time.Sleep(time.Until(time.Unix(0, m.cutUntil.Load())))
 		body := fmt.Sprintf(`{"service":"torhaus","address":%q,"zone":%q,"version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"remainingMs":2000,`+
 			`"capacity":%s,"labels":["a",%q],"machine":"m-%s","born":%d,"sequence":%d}`,
 			m.Addr(), m.zone, capacity, m.rack, m.ID, m.Born, n)
@@ -242,14 +257,6 @@
 	}
 }
 
-// crash ends a minion and the agent on its machine, as a loss of power does.
-func (f *fleet) crash(i int) {
-	f.agents[i].end()
-	close(f.minions[i].quit)
-	f.minions[i].End()
-	f.notef("%s and the agent on its machine lose power", f.minions[i].ID)
-}
-
 // endAll ends all processes and removes the files.
 func (f *fleet) endAll() {
 	for _, p := range f.processes {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -32,6 +32,7 @@
 	"order":   playOrder,
 	"foreign": playForeign,
 	"frozen":  playFrozen,
+	"pending": playPending,
 }
 
 // withTrouble reports whether the disruption of the case is played.
