--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,4 +5,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export GOFLAGS="-buildvcs=false -mod=readonly" GOPROXY=off
-go build -tags review -o target/stand3 ./review/stand3
+go build -tags review -o target/stand3 ./review/stand3/platform
--- a/review/stand3/memory.go
+++ b/review/stand3/platform/memory.go
@@ -11,6 +11,8 @@
 	// wideJobs is the number of the uncontrolled client's jobs, and wideTasks that of the
 	// tasks of each.
 	wideJobs, wideTasks = 300, 10_000
+	// wideJobsPause is the pause between two of them.
+	wideJobsPause = 20 * time.Millisecond
 	// watch is how long the processes are watched afterwards.
 	watch = 60 * time.Second
 )
@@ -29,6 +31,7 @@
 			if f.submit(i%frontends, fmt.Sprintf("/group/a11000000000%04x", i), body, 1) {
 				accepted++
 			}
+			time.Sleep(wideJobsPause)
 			if time.Now().After(end) {
 				break
 			}
--- a/review/stand3/order.go
+++ b/review/stand3/platform/order.go
@@ -17,6 +17,9 @@
 	// timedJobs is the number of jobs that are due at one time, and specLength the length of
 	// their specs; the pages allow 4,000 bytes.
 	timedJobs, specLength = 5_000, 3_990
+	// submitPause is the pause of each of the clients between two jobs: together they hand in
+	// fewer than the 300 transactions a second of one part of the store (partWritesPerS).
+	submitPause = 20 * time.Millisecond
 	// killBefore is how long before that time the agent is killed.
 	killBefore = 300 * time.Millisecond
 )
@@ -27,7 +30,7 @@
 	if err := f.warmUp(); err != nil {
 		return nil, err
 	}
-	due := time.Now().Add(30 * time.Second)
+	due := time.Now().Add(42 * time.Second)
 	body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":1,"cpu":10,"memMb":40,"estimatedMs":850}],"maxRuns":1,"firstMs":%d,"intervalMs":60000}`,
 		strings.Repeat("x", specLength), due.UnixMilli())
 	var clients sync.WaitGroup
@@ -46,6 +49,7 @@
 				mu.Lock()
 				ids = append(ids, id)
 				mu.Unlock()
+				time.Sleep(submitPause)
 			}
 		})
 	}
