sched: a job has started when a worker has shown it

Cause: the owner took a placement for a start. The order may never arrive, and the placement be released, but the job stayed started, for the next owner and for entries that read its rows too.

Fix: a job has started by the outcome of an order, a list of runs or an end, also of a run whose placement was released before. It is stored before the job is shown as running, so the next owner knows it for a worker that is cut off as well. This is one more write of the job's row, in the commits that are made anyway while there is load.

--- a/internal/sched/chaos_test.go
+++ b/internal/sched/chaos_test.go
@@ -142,6 +142,8 @@
 	jobs        map[string]work.Job
 	tasks       map[string]*history
 	cancelledAt map[string]time.Duration
+	// begun holds the jobs of which some task was started on a worker.
+	begun map[string]bool
 	// finished holds the jobs that an owner has reported as completed or failed. Their
 	// rows may be deleted.
 	finished map[string]bool
@@ -171,7 +173,7 @@
 func newWorld(t testing.TB, seed uint64, v variant) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), rows: map[string][]byte{}, versions: map[string]uint64{}, finished: map[string]bool{}, jobs: map[string]work.Job{},
-		tasks: map[string]*history{}, cancelledAt: map[string]time.Duration{}, pendingReplies: map[uint64]func(work.Reply){},
+		tasks: map[string]*history{}, cancelledAt: map[string]time.Duration{}, begun: map[string]bool{}, pendingReplies: map[uint64]func(work.Reply){},
 		checkEachEvent: seed < sequences, overload: seed%2 == 1, uneven: v.uneven, speculative: v.speculative,
 	}
 	if v.queues {
@@ -325,6 +327,7 @@
 	}
 	w.checkStates(o)
 	if _, tick := e.(sched.Tick); tick || w.checkEachEvent {
+		w.checkPending(o)
 		if err := o.core.CheckIndexes(); err != nil {
 			w.fail("owner %d after %T: %v", o.term, e, err)
 		}
@@ -513,6 +516,7 @@
 	}
 	r.runs[s.Run] = &workerRun{startedAt: w.now, endsAt: w.now + duration, fails: w.chance(0.15) || w.queues != nil && w.queues.poison[taskID.Job], checkpoint: s.Saved}
 	w.taskHistory(s.Task).live[r] = s.Num
+	w.begun[j.ID] = true
 	w.logf("start %s run %d on %s by term %d", s.Task, s.Num, r.id, o.Term)
 	return work.Started
 }
@@ -658,6 +662,10 @@
 		o.lastStates[id] = s
 		w.finished[id] = w.finished[id] || s == "completed" || s == "failed"
 		switch s {
+		case "running":
+			if !w.begun[id] {
+				w.fail("job %s is reported as running, but no task of it was started", id)
+			}
 		case "completed":
 			for x, st := range j.Steps {
 				for i := range st.Count {
@@ -674,6 +682,22 @@
 	}
 }
 
+// checkPending checks that an owner counts as pending the jobs that it knows and of which no
+// task was started.
+func (w *world) checkPending(o *owner) {
+	counted := o.core.Pending()
+	for id, j := range w.jobs {
+		if s := o.core.State(id); !w.begun[id] && (s == "queued" || s == "running") {
+			counted[j.Queue]--
+		}
+	}
+	for q, n := range counted {
+		if n < 0 {
+			w.fail("owner %d counts %d jobs too few of queue %s as pending", o.term, -n, q)
+		}
+	}
+}
+
 // maxFailures returns the highest number of failed runs of a task or gang of the job.
 func (w *world) maxFailures(j work.Job) int {
 	maximum := 0
--- a/internal/sched/export_test.go
+++ b/internal/sched/export_test.go
@@ -17,7 +17,7 @@
 	pending := map[string]int{}
 	ranked := map[*occurrence]bool{}
 	for _, j := range c.jobs {
-		if !j.everStarted && !j.finished() {
+		if !j.started && !j.finished() {
 			pending[j.Queue]++
 		}
 		if err := checkJob(j); err != nil {
@@ -58,9 +58,9 @@
 					unfinished++
 				}
 				placed += len(t.placements)
-				started = started || t.lastRun > 0
-				if t.lastRun > 0 && (!s.everStarted || !o.everStarted) {
-					return fmt.Errorf("%s was started and its step does not say so", t.name())
+				started = started || t.done || t.failures > 0
+				if t.lastRun > 0 && (!s.everPlaced || !o.everPlaced) {
+					return fmt.Errorf("%s was placed and its step does not say so", t.name())
 				}
 			}
 			if waiting != s.waiting || unfinished != s.unfinished || placed != s.placed {
@@ -69,7 +69,7 @@
 			placements += placed
 		}
 	}
-	if started && !j.everStarted {
+	if started && !j.started {
 		return fmt.Errorf("job %s was started and does not say so", j.ID)
 	}
 	if placements != j.placements.len() {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -23,11 +23,10 @@
 	// openOccurrences holds the occurrences created so far, from number past on.
 	openOccurrences []*occurrence
 	placements      placementSet
-	// everStarted says that some task was placed at least once.
-	everStarted bool
-	// startConfirmed says that a worker has confirmed a start to this owner, or
-	// that an earlier owner had placed a task.
-	startConfirmed    bool
+	// started says that a worker has shown that it started a task: by the outcome of an
+	// order, a list of its runs or an end. A placement alone does not show that, since its
+	// order may never arrive.
+	started           bool
 	failed, cancelled bool
 	complete          bool
 	// endedAt is when the job ended, in milliseconds of the store's clock, or 0. endStored
@@ -213,7 +212,7 @@
 		return "cancelled"
 	case j.failed:
 		return "failed"
-	case j.everStarted:
+	case j.started:
 		return "running"
 	}
 	return "queued"
@@ -237,6 +236,23 @@
 		c.emit(Decision{Kind: "complete", Job: j.ID, Reason: j.Queue, Took: c.now - j.acceptedAt})
 	}
 	c.updatePending(j)
+	c.showState(j)
+}
+
+// noteStarted records that a worker has shown that it started a task of the job.
+func (c *Core) noteStarted(j *job) {
+	if j.started {
+		return
+	}
+	j.started = true
+	c.emit(Decision{Kind: "first", Job: j.ID, Reason: j.Queue, Took: c.now - j.acceptedAt})
+	c.markDirty(j, mainRow)
+	c.updatePending(j)
+	c.showState(j)
+}
+
+// showState publishes the state of a job once it is stored.
+func (c *Core) showState(j *job) {
 	if s := j.currentState(); s != j.visibleState {
 		c.afterStored(func() { j.publish(s) })
 	}
@@ -283,7 +299,7 @@
 // updatePending updates the count of jobs of which no task was started after a change
 // of a job.
 func (c *Core) updatePending(j *job) {
-	pending := !j.everStarted && !j.finished()
+	pending := !j.started && !j.finished()
 	if pending == j.countedPending {
 		return
 	}
--- a/internal/sched/jobstate.go
+++ b/internal/sched/jobstate.go
@@ -11,7 +11,7 @@
 		return "cancelled"
 	case st.Failed:
 		return "failed"
-	case st.Started || len(st.Tasks) > 0:
+	case st.ShowsStart():
 		return "running"
 	}
 	return "queued"
--- a/internal/sched/order.go
+++ b/internal/sched/order.go
@@ -62,7 +62,7 @@
 // longestTask returns the expected duration of the longest task of a step. Tasks of
 // which nothing is known yet count with expectedLongest.
 func (c *Core) longestTask(s *step, expectedLongest time.Duration) time.Duration {
-	if !s.everStarted {
+	if !s.everPlaced {
 		return expectedLongest
 	}
 	var longest time.Duration
@@ -91,7 +91,7 @@
 		return 0
 	}
 	expected := c.expectedLongest(j, s.Step)
-	if !s.everStarted {
+	if !s.everPlaced {
 		return expected
 	}
 	var longest time.Duration
@@ -136,7 +136,7 @@
 		o.rank = rankHopeless
 	case end > o.due:
 		o.rank = rankLate
-	case !o.everStarted:
+	case !o.everPlaced:
 		o.rank = rankInTime
 	}
 	if c.limits.Overload {
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -224,9 +224,6 @@
 		w.lastProbe = c.now
 	}
 	j := t.step.job
-	if !j.everStarted {
-		c.markDirty(j, mainRow)
-	}
 	t.attach(p)
 	j.placements.add(p)
 	c.markDirty(j, j.rowOf(t))
--- a/internal/sched/progress.go
+++ b/internal/sched/progress.go
@@ -48,9 +48,8 @@
 	if page != mainRow {
 		return work.State{Tasks: j.pageTasks(page)}
 	}
-	st := work.State{Failed: j.failed, Ended: j.endedAt, Past: j.past, Complete: j.complete}
+	st := work.State{Failed: j.failed, Ended: j.endedAt, Past: j.past, Complete: j.complete, Started: j.started}
 	if j.rows.Paged() {
-		st.Started = j.everStarted
 		return st
 	}
 	for _, o := range j.openOccurrences {
--- a/internal/sched/report.go
+++ b/internal/sched/report.go
@@ -185,11 +185,15 @@
 	}
 	w.seenEnd = x.N
 	if p := w.placementOf(x.Run); p != nil {
+		c.noteStarted(p.task.step.job)
 		c.finish(p, x.How, x.Saved)
-	} else if t := c.taskOf(x.Run); t != nil && x.How == work.Done && t.lastRun == x.Num && t.waiting() && !t.step.Lasts {
-		// The placement was released earlier, but the run succeeded before its
-		// lease expired.
-		c.markDone(t)
+	} else if t := c.taskOf(x.Run); t != nil {
+		c.noteStarted(t.step.job)
+		if x.How == work.Done && t.lastRun == x.Num && t.waiting() && !t.step.Lasts {
+			// The placement was released earlier, but the run succeeded before its
+			// lease expired.
+			c.markDone(t)
+		}
 	}
 	c.afterStored(func() { w.storedEnd = max(w.storedEnd, x.N) })
 }
@@ -419,6 +423,9 @@
 		stray.Reason, stray.Took = reason, c.now-at
 	}
 	c.emit(stray)
+	if t := c.taskOf(r); t != nil {
+		c.noteStarted(t.step.job)
+	}
 	o := c.orderFor(w)
 	o.Stops = append(o.Stops, r)
 }
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -25,7 +25,7 @@
 	j.rows.Load(stored)
 	st := stored.State
 	j.past, j.failed, j.endedAt = st.Past, st.Failed, st.Ended
-	j.everStarted, j.startConfirmed = st.Started, st.Started
+	j.started = st.ShowsStart()
 	for _, tasks := range [][]work.TaskState{st.Tasks, stored.Pages} {
 		for _, ts := range tasks {
 			if t := j.task(work.TaskID{Job: j.ID, K: ts.K, Step: ts.Step, Index: ts.Index}, c.now); t != nil {
@@ -45,9 +45,9 @@
 	j := t.step.job
 	t.lastRun, t.failures, t.checkpoint = ts.Run, ts.Fails, ts.Saved
 	if t.lastRun > 0 {
-		j.startConfirmed = true
-		t.markStarted()
+		t.markPlaced()
 	}
+	j.started = j.started || ts.ShowsStart()
 	if ts.Done {
 		t.succeed()
 	}
--- a/internal/sched/results.go
+++ b/internal/sched/results.go
@@ -77,18 +77,10 @@
 	if !p.confirmed {
 		p.confirmed, p.confirmedAt = true, c.now
 	}
+	c.noteStarted(p.task.step.job)
 	if p.startLogged || listed && p.adopted {
 		return
 	}
 	p.startLogged = true
-	c.noteFirstStart(p.task.step.job)
 	c.emit(Decision{Kind: "started", Task: p.name(), Run: p.run, Worker: p.worker.ID, Took: c.now - p.task.step.job.acceptedAt})
 }
-
-// noteFirstStart logs the first confirmed start of a job.
-func (c *Core) noteFirstStart(j *job) {
-	if !j.startConfirmed {
-		j.startConfirmed = true
-		c.emit(Decision{Kind: "first", Job: j.ID, Reason: j.Queue, Took: c.now - j.acceptedAt})
-	}
-}
--- a/internal/sched/site_test.go
+++ b/internal/sched/site_test.go
@@ -49,6 +49,8 @@
 	// resultsLost says that the owner gets no results of its orders, and startsRepeated
 	// that each worker gets each start twice and only its second answer arrives.
 	resultsLost, startsRepeated bool
+	// startsRefused is the code with which the workers refuse all starts, or empty.
+	startsRefused work.Code
 	// orders lists the orders, and orderedAt when they were sent. They do not arrive while
 	// ordersLost is set.
 	orders     []sched.Send
@@ -260,6 +262,10 @@
 	w := s.workerByAgent(f.Agent)
 	results := work.Results{Life: f.Order.Life, Term: 1}
 	for _, x := range f.Order.Starts {
+		if s.startsRefused != "" {
+			results.Starts = append(results.Starts, work.Result{Run: x.Run, Code: s.startsRefused})
+			continue
+		}
 		if w.runs[x.Run] == nil {
 			r := &testRun{measured: 1}
 			if x.Lasts {
--- a/internal/sched/task.go
+++ b/internal/sched/task.go
@@ -27,8 +27,8 @@
 	order float64
 	// lastReady is when a step last became ready to run.
 	lastReady time.Duration
-	// everStarted says that some task of the occurrence was placed at least once.
-	everStarted bool
+	// everPlaced says that some task of the occurrence was placed at least once.
+	everPlaced bool
 }
 
 // step is one occurrence of a job's step.
@@ -43,8 +43,8 @@
 	unfinished, waiting int
 	// placed is the number of placements on workers.
 	placed int
-	// everStarted says that some task of the step was placed at least once.
-	everStarted bool
+	// everPlaced says that some task of the step was placed at least once.
+	everPlaced bool
 	// heldLoggedAt is when it was last logged that the step's tasks are held back, or 0.
 	heldLoggedAt time.Duration
 	// kind is what the ends of the step's runs tell about its tasks.
@@ -166,13 +166,11 @@
 		t.step.waiting--
 	}
 	t.placements = append(t.placements, p)
-	t.markStarted()
+	t.markPlaced()
 }
 
-// markStarted records that the task was placed at least once.
-func (t *task) markStarted() {
-	t.step.everStarted, t.step.occurrence.everStarted, t.step.job.everStarted = true, true, true
-}
+// markPlaced records that the task was placed at least once.
+func (t *task) markPlaced() { t.step.everPlaced, t.step.occurrence.everPlaced = true, true }
 
 // detach removes a placement from the task.
 func (t *task) detach(p *placement) {
--- a/internal/work/state.go
+++ b/internal/work/state.go
@@ -1,6 +1,10 @@
 package work
 
-import "github.com/fxamacker/cbor/v2"
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
 
 // State is the content of a row with the progress of a job. Each write replaces the row as a
 // whole. A row with a part of the tasks has only Tasks.
@@ -16,11 +20,16 @@
 	Complete bool `cbor:"5,keyasint,omitempty"`
 	// Tasks lists the tasks of the occurrences after Past that were ever started.
 	Tasks []TaskState `cbor:"4,keyasint,omitempty"`
-	// Started says that some task was ever started. It is set if Tasks is kept in other
-	// rows.
+	// Started says that some task was ever started. Earlier versions set it if a task had
+	// been placed, and only if Tasks is kept in other rows.
 	Started bool `cbor:"6,keyasint,omitempty"`
 }
 
+// ShowsStart reports whether a task was ever started, as far as this row says.
+func (s State) ShowsStart() bool {
+	return s.Started || s.Past > 0 || slices.ContainsFunc(s.Tasks, TaskState.ShowsStart)
+}
+
 // TaskState is the stored record of one task's progress.
 type TaskState struct {
 	_ struct{} `cbor:",toarray"`
@@ -41,6 +50,10 @@
 	Places []RunState
 }
 
+// ShowsStart reports whether the record can only be that of a task that was started. A run
+// number alone is used before the order is sent.
+func (t TaskState) ShowsStart() bool { return t.Done || t.Fails > 0 || t.Saved != "" }
+
 // RunState is the stored record of a run that may be active on a worker.
 type RunState struct {
 	_    struct{} `cbor:",toarray"`
