front: the cancellation of an unknown job is stored before it is acknowledged

Cause: the entry read that there is no row of the job and answered, and stored nothing that the submission under way could find. The same with the row of a job that was rejected before, which a new submission replaces.

Fix: the entry writes the cancellation under the key of the job on the condition that none was accepted since it looked, and then answers. Acceptance and cancellation are conditional writes of one row, so one finds the other. The rows have bounds: the retention time of ended jobs, under 100 bytes, and 512 at once for each entry (package quota); above that the answer is 503 with a time to retry. An acceptance that reaches the owner later than the deletion of its rows and a cancellation of its ID is ignored.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -98,6 +98,10 @@
 	case front.NotFound:
 		httpd.Problem(rc, http.StatusNotFound, "missing", "there is no such job")
 	case front.Rejected:
+		if o.Reason == front.ReasonCancelled {
+			httpd.Problem(rc, http.StatusGone, o.Reason, "the job was cancelled before; it is not accepted and never runs")
+			return
+		}
 		httpd.Problem(rc, http.StatusServiceUnavailable, o.Reason, "not accepted; try again in "+o.After.String())
 	default:
 		httpd.Problem(rc, http.StatusGatewayTimeout, "unknown", "it is unknown whether the change is stored; query the job's state")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"lagoonrack/internal/leader"
 	"lagoonrack/internal/logs"
 	"lagoonrack/internal/plat"
+	"lagoonrack/internal/quota"
 	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/sched"
 	"lagoonrack/internal/skips"
@@ -97,6 +98,8 @@
 	// owner last reported at pendingAt. It is nil if no owner has.
 	pendingJobs map[string]int
 	pendingAt   time.Duration
+	// earlyCancels bounds the stored cancellations of unknown jobs.
+	earlyCancels quota.Quota
 	// ownerBehind is the lag that the owner last reported, also at pendingAt.
 	ownerBehind time.Duration
 }
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -38,7 +38,7 @@
 type Outcome struct {
 	Status Status
 	// Reason is one word that says why the call was rejected, and After the duration
-	// after which the caller should retry.
+	// after which the caller should retry, or 0 if that is of no use.
 	Reason string
 	After  time.Duration
 }
@@ -199,15 +199,19 @@
 	}
 }
 
-// writeJob writes the rows of a job, or of its rejection. The job is rejected if another one has
-// its ID.
+// writeJob writes the rows of a job, or of its rejection. The job is rejected if it was cancelled
+// before, or if another one has its ID.
 func (f *Front) writeJob(ctx context.Context, j work.Job, writes []plat.Write) Outcome {
 	var existing plat.Row
 	out := f.writeAll(ctx, writes, func(r plat.Row) bool {
 		existing = r
-		return isRejected(r)
+		return isRejected(r) && !isCancelledEarly(r)
 	})
-	if out.Status == Stored && f.isTaken(j, existing) {
+	switch {
+	case out.Status != Stored:
+	case isCancelledEarly(existing):
+		return Outcome{Status: Rejected, Reason: ReasonCancelled}
+	case f.isTaken(j, existing):
 		return Outcome{Status: Rejected, Reason: "taken"}
 	}
 	return out
@@ -298,51 +302,6 @@
 	}
 }
 
-// Cancel cancels a job by storing a row that says so.
-func (f *Front) Cancel(ctx context.Context, id string) Outcome {
-	found, err := f.jobExists(ctx, id)
-	if err != nil {
-		return Outcome{Status: Rejected, Reason: "store", After: f.outageRetryAfter()}
-	}
-	if !found {
-		return Outcome{Status: NotFound}
-	}
-	out := f.write(ctx, sched.CancelKey(id), []byte{1}, neverReplace)
-	if out.Status == Written {
-		out.Status = Stored
-	}
-	if out.Status == Stored {
-		f.Tally.Inc("lagoon_jobs_cancelled_total")
-		f.Log.Info(logs.JobCancelled, logs.Fields{"job": id})
-		go f.notifyCancel(id)
-	}
-	return out
-}
-
-// neverReplace says that an existing row is never replaced.
-func neverReplace(plat.Row) bool { return false }
-
-// jobExists reports whether a job was accepted. If the owner does not know the job, the
-// read of its row is retried until the store answers or the caller's context ends.
-func (f *Front) jobExists(ctx context.Context, id string) (bool, error) {
-	if s, err := f.ownerState(ctx, id); err == nil && s != "" {
-		return true, nil
-	}
-	for {
-		c, cancel := f.withTimeout(ctx, tryTimeout)
-		row, err := f.read(c, sched.JobKey(id))
-		cancel()
-		if err == nil {
-			return row.Version != 0 && !isRejected(row), nil
-		}
-		f.storeFailed("read job", err)
-		clock.Sleep(ctx, 2*firstRetryDelay)
-		if ctx.Err() != nil {
-			return false, ctx.Err()
-		}
-	}
-}
-
 // ownerTimeout bounds a question to the owner about a job.
 const ownerTimeout = 250 * time.Millisecond
 
--- a/internal/logs/event.go
+++ b/internal/logs/event.go
@@ -34,10 +34,11 @@
 	MinionUnresponsive   = Event{204, "minion unresponsive", "A minion has stopped announcing itself and was removed from routing."}
 	Answered             = Event{205, "request answered", "An entry answered a request with an error, because no minion returned a whole response. Logged at debug level."}
 	Accepted             = Event{206, "job accepted", "An entry stored a job that a caller submitted."}
-	Rejected             = Event{207, "job refused", "An entry rejected a job; it never runs unless it is submitted again. The reason is invalid, store, full, busy, overload, or taken: another queue has a job with its ID."}
+	Rejected             = Event{207, "job refused", "An entry rejected a job; it never runs unless it is submitted again. The reason is invalid, store, full, busy, overload, cancelled: a client had cancelled it before, or taken: another queue has a job with its ID."}
 	OutcomeUnknown       = Event{208, "outcome unknown", "An entry could not find out in time whether a caller's change was stored."}
-	JobCancelled         = Event{209, "job cancelled", "An entry stored the cancellation of a job."}
+	JobCancelled         = Event{209, "job cancelled", "An entry stored the cancellation of a job. early says that no such job was accepted; a submission that is still under way is rejected."}
 	Overloaded           = Event{210, "job refused for overload", "A job would end after three times its objective. The fields are the inputs of the decision: the work of the jobs ahead of it, the rate at which that is done, how long the job would wait, how long it may wait, how long it then takes, and its own work."}
+	CancelRefused        = Event{211, "cancellation refused", "An entry has stored as many cancellations of unknown jobs as it may. The job may still be accepted; after is the time until the next one is stored."}
 	Owned                = Event{301, "cell taken over", "This process owns the cell from now on."}
 	CellLost             = Event{302, "cell lost", "Another process owns the cell; this one discards its state of the cell."}
 	Released             = Event{303, "cell handed over", "The owner released the cell in a planned stop."}
@@ -69,7 +70,7 @@
 	return []Event{
 		Started, Stopping, Stopped, Failed, StoreOperationFailed, StoreUp, PeerLost, PeerFound, SettingsFileReread, SettingsFileRejected, StoreUnavailable, LinesDropped, Panicked, EntrySkipped, ClientsRefused,
 		Retried, Hedged, Ejected, MinionUnresponsive, Answered,
-		Accepted, Rejected, OutcomeUnknown, JobCancelled, Overloaded,
+		Accepted, Rejected, OutcomeUnknown, JobCancelled, Overloaded, CancelRefused,
 		Owned, CellLost, Released, Decided, Snapshot, OwnerBehind, OwnerCaughtUp, AdviceFailed,
 		Quarantine, Restored, WorkerUnresponsive, Fenced,
 		WorkerNew, WorkerDraining, WorkerEnded, OwnerChanged, RunThrottled, StartRefused, OtherIncarnation, WorkerFarewell, ZoneEvacuated, ZoneRestored,
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -25,6 +25,8 @@
 	// the store's clock.
 	Version uint64
 	At      int64
+	// Cancelled says that the job was cancelled before it was accepted.
+	Cancelled bool
 	// The others are the fields of work.Job. The numbers are 0 unless the job was rejected with
 	// Limits.Overload set.
 	Service, Queue                  string
@@ -33,7 +35,7 @@
 
 // NewRejectedJob returns the event for the row of a rejected job with the given version.
 func NewRejectedJob(j work.Job, version uint64) RejectedJob {
-	return RejectedJob{ID: j.ID, Version: version, At: j.At, Service: j.Service, Queue: j.Queue, Submitted: j.Submitted, RetryAt: j.RetryAt, Cores: j.Cores, Work: j.Work}
+	return RejectedJob{ID: j.ID, Version: version, At: j.At, Cancelled: j.Cancelled, Service: j.Service, Queue: j.Queue, Submitted: j.Submitted, RetryAt: j.RetryAt, Cores: j.Cores, Work: j.Work}
 }
 
 // Cancel reports that the cancellation of a job is stored.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -157,6 +157,10 @@
 	if c.barred[id] || c.isDeleted(id, e.Version) {
 		return
 	}
+	if r := c.rejected[id]; r.Cancelled && e.Version <= r.Version {
+		// A job of that ID whose rows were deleted since.
+		return
+	}
 	delete(c.rejected, id)
 	j := c.addJob(e.Job)
 	j.rowVersion = e.Version
--- a/internal/sched/purge_test.go
+++ b/internal/sched/purge_test.go
@@ -56,6 +56,19 @@
 			Expect(s.core.State(id)).To(BeEmpty())
 		})
 	}
+	It("do not bring a job back that was deleted and then cancelled by its ID", func() {
+		s.version = 7
+		s.step(sched.RejectedJob{ID: id, Version: s.version, At: s.now.Milliseconds(), Cancelled: true})
+		for _, version := range []uint64{0, 6} {
+			s.step(sched.Submit{Version: version, Job: work.Job{ID: id, Queue: "short", Service: "s", Spec: "x", Steps: []work.Step{shortStep(1, false)}}})
+			Expect(s.core.State(id)).To(BeEmpty())
+		}
+		s.deletionsFail = false
+		s.advance(140 * time.Second)
+		Expect(s.deletions).To(BeEmpty())
+		s.advance(60 * time.Second)
+		Expect(s.deletions).To(HaveLen(1))
+	})
 	It("do not bring the job back when they were read before the deletion", func() {
 		s.deletionsFail = false
 		endJob(work.Done)
--- a/internal/tally/catalogue.go
+++ b/internal/tally/catalogue.go
@@ -24,6 +24,8 @@
 		{"lagoon_answers_total", "counter", "service, outcome", "entry", "Answers to requests of callers."},
 		{"lagoon_commit_seconds", "histogram", "", "entry", "Time of one transaction of the owner, including its retries."},
 		{"lagoon_decisions_total", "counter", "kind, reason", "entry", "Decisions of the owner on jobs with steps."},
+		{"lagoon_early_cancels_refused_total", "counter", "", "entry", "Cancellations of unknown jobs that were refused, because the entry has stored as many as it may."},
+		{"lagoon_early_cancels_total", "counter", "", "entry", "Cancellations of unknown jobs that were stored: a submission that is still under way is rejected."},
 		{"lagoon_ends_unstored", "gauge", "", "agent", "Ended runs whose end the owner has not stored yet."},
 		{"lagoon_entries_heard", "gauge", "", "entry", "Other entries that answered recently."},
 		{"lagoon_fenced_total", "counter", "", "agent", "Calls that a worker rejected because it had been called by a newer owner."},
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -37,6 +37,9 @@
 	// delayed writes that would still accept it; only a new submission replaces
 	// it.
 	Refused bool `cbor:"10,keyasint,omitempty"`
+	// Cancelled says that the job was cancelled before it was accepted. Refused is set too, and
+	// no submission replaces the row.
+	Cancelled bool `cbor:"17,keyasint,omitempty"`
 	// Parts is the number of further rows that hold the job, or 0 if its own row does.
 	Parts int `cbor:"11,keyasint,omitempty"`
 	// Terms are those of the queue at the time of acceptance. They are zero in a job that
