--- a/internal/front/cancel_test.go
+++ b/internal/front/cancel_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -208,3 +210,128 @@
 	g.Expect(f.Submit(f.ctx, accepted).Status).To(Equal(Stored))
 	g.Expect(cancel(0xffff).Status).To(Equal(Stored), "accepted jobs are cancelled as ever")
 }
+
+// TestRandomSubmissionsAndCancels plays clients that submit, reject and cancel a job at several
+// entries at about the same time, over a store whose calls take effect late or get no answer. It
+// guards against answers that contradict each other or what is stored in the end.
+func TestRandomSubmissionsAndCancels(t *testing.T) {
+	for seed := range uint64(400) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			store := &rows.Store{}
+			// What is still under way ends within the bubble.
+			defer time.Sleep(2 * maxStoreDelay)
+			var entries []*Front
+			for range 3 {
+				f, stop := startEntry(store)
+				defer stop()
+				f.Rows = unreliableStore(store, r)
+				entries = append(entries, f)
+			}
+			var calls sync.WaitGroup
+			var submitted, cancelled answers
+			for range 2 + r.IntN(4) {
+				f, pause, kind := entries[r.IntN(len(entries))], time.Duration(r.IntN(2500))*time.Millisecond, r.IntN(5)
+				calls.Go(func() {
+					time.Sleep(pause)
+					switch kind {
+					case 0, 1:
+						submitted.add(submitEarly(f))
+					case 2:
+						submitted.add(call(f, func(ctx context.Context) Outcome { return f.storeRejection(ctx, earlyJob, "full", time.Second) }))
+					default:
+						cancelled.add(cancelEarlyJob(f))
+					}
+				})
+			}
+			calls.Wait()
+			time.Sleep(2 * maxStoreDelay)
+			state, err := newEntry(store).readState(context.Background(), earlyJob.ID)
+			g := NewWithT(t)
+			g.Expect(err).NotTo(HaveOccurred())
+			if cancelled.has(NotFound) {
+				g.Expect(submitted.has(Stored)).To(BeFalse(), "seed %d: accepted, and cancelled as a job that doesn't exist", seed)
+				g.Expect(state).To(BeEmpty(), "seed %d", seed)
+			}
+			if cancelled.has(Stored) {
+				g.Expect(state).To(Equal("cancelled"), "seed %d", seed)
+			}
+			if submitted.has(Stored) {
+				g.Expect(state).NotTo(BeEmpty(), "seed %d: accepted, and not stored", seed)
+			}
+		})
+	}
+}
+
+// answers collects the outcomes of calls that end at the same time.
+type answers struct {
+	mu    sync.Mutex
+	given []Outcome
+}
+
+func (a *answers) add(o Outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.given = append(a.given, o)
+}
+
+// has reports whether a call had an outcome with the status.
+func (a *answers) has(s Status) bool {
+	return slices.ContainsFunc(a.given, func(o Outcome) bool { return o.Status == s })
+}
+
+// maxStoreDelay bounds how late a call of unreliableStore takes effect.
+const maxStoreDelay = 1500 * time.Millisecond
+
+// unreliableStore returns a store that rejects some calls, answers some late and some not at all.
+// Each takes effect at most maxStoreDelay after it was sent, whether or not its caller waits.
+func unreliableStore(s *rows.Store, r *rand.Rand) plat.Rows {
+	var mu sync.Mutex
+	intn := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return r.IntN(n)
+	}
+	// carry does a call and returns whether it is rejected, and whether its answer arrives.
+	carry := func(ctx context.Context, do func()) error {
+		if intn(8) == 0 {
+			return plat.ErrRefused
+		}
+		done, lost := make(chan struct{}), intn(6) == 0
+		delay := time.Duration(1+intn(20)) * time.Millisecond
+		if intn(3) == 0 {
+			delay = time.Duration(intn(int(maxStoreDelay/time.Millisecond))) * time.Millisecond
+		}
+		go func() {
+			time.Sleep(delay)
+			do()
+			if !lost {
+				close(done)
+			}
+		}()
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+			return plat.ErrUnavailable
+		}
+	}
+	return plat.Rows{
+		Read: func(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
+			var row plat.Row
+			var err error
+			if lost := carry(ctx, func() { row, _, err = s.Rows().Read(context.Background(), key) }); lost != nil {
+				return plat.Row{}, plat.Stamp{}, lost
+			}
+			return row, plat.Stamp{}, err
+		},
+		Commit: func(ctx context.Context, txn plat.Txn) (plat.Stamp, error) {
+			var stamp plat.Stamp
+			var err error
+			if lost := carry(ctx, func() { stamp, err = s.Rows().Commit(context.Background(), txn) }); lost != nil {
+				return plat.Stamp{}, lost
+			}
+			return stamp, err
+		},
+	}
+}
