front: a client's early cancellation holds for its own queue

A client could keep those of another queue from submitting a job by cancelling its ID before: the row that was stored for it held for every queue.

The row names the queue now, and a submission to another queue in force replaces it. TestCancelOfAnotherQueue; its first case can't be written for the code before, where a cancellation has no queue.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -86,7 +86,7 @@
 func (d *Handler) cancel(ctx context.Context, rc *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	writeOutcome(rc, "cancelled", d.Front.Cancel(ctx, rc.Param("name")))
+	writeOutcome(rc, "cancelled", d.Front.Cancel(ctx, "", rc.Param("name")))
 }
 
 // writeOutcome writes the response for the outcome of a request. Text is the
--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lagoonrack/internal/clock"
 	"lagoonrack/internal/logs"
@@ -24,15 +25,16 @@
 // the retention time of ended jobs. Each costs the owner about 300 bytes of memory for that time.
 const maxEarlyCancels = 512
 
-// Cancel cancels a job by storing a row that says so. If no such job was accepted, it never will
-// be after the outcome NotFound.
-func (f *Front) Cancel(ctx context.Context, id string) Outcome {
+// Cancel cancels a job by storing a row that says so. The queue is that to which the client
+// submits the job, or empty if that is not known. If no such job was accepted, it never will be
+// after the outcome NotFound.
+func (f *Front) Cancel(ctx context.Context, queue, id string) Outcome {
 	row, known, err := f.findJob(ctx, id)
 	if err != nil {
 		return Outcome{Status: Rejected, Reason: "store", After: f.outageRetryAfter()}
 	}
 	if !known {
-		out, accepted := f.cancelEarly(ctx, id, row)
+		out, accepted := f.cancelEarly(ctx, queue, id, row)
 		if !accepted {
 			return out
 		}
@@ -52,48 +54,74 @@
 // cancelEarly stores the cancellation of a job that was not accepted, given the row that was read
 // under its key. It returns true if the job has been accepted in the meantime. Otherwise the
 // status is NotFound once it can't be accepted any more.
-func (f *Front) cancelEarly(ctx context.Context, id string, row plat.Row) (out Outcome, accepted bool) {
-	if isCancelledEarly(row) {
-		return Outcome{Status: NotFound}, false
+func (f *Front) cancelEarly(ctx context.Context, queue, id string, row plat.Row) (out Outcome, accepted bool) {
+	counted := false
+	for {
+		earlier, ok := earlyCancel(row)
+		if ok && (earlier.Queue == queue || earlier.Queue == "") {
+			return Outcome{Status: NotFound}, false
+		}
+		if !counted {
+			if wait, ok := f.takeEarlyCancel(); !ok {
+				f.Tally.Inc("lagoon_early_cancels_refused_total")
+				f.Log.Info(logs.CancelRefused, logs.Fields{"job": id, "queue": queue, "after": wait.Milliseconds()})
+				return Outcome{Status: Rejected, Reason: "cancels", After: wait}, false
+			}
+			counted = true
+		}
+		if ok {
+			// Clients of two queues have cancelled jobs with this ID: the row holds for all.
+			queue = ""
+		}
+		data, err := work.Encode(work.Job{ID: id, Queue: queue, At: f.storeClock(), Refused: true, Cancelled: true})
+		if err != nil {
+			f.Log.Error(logs.Rejected, err, logs.Fields{"job": id, "reason": "invalid"})
+			return Outcome{Status: Rejected, Reason: "invalid"}, false
+		}
+		replaced := row.Version
+		out = f.write(ctx, sched.JobKey(id), data, func(r plat.Row) bool {
+			row = r
+			return r.Version == replaced
+		})
+		switch {
+		case out.Status == Written:
+			f.Tally.Inc("lagoon_early_cancels_total")
+			f.Log.Info(logs.JobCancelled, logs.Fields{"job": id, "queue": queue, "early": true})
+			return Outcome{Status: NotFound}, false
+		case out.Status != Stored:
+			return out, false
+		case !isRejected(row):
+			return out, true
+		}
 	}
+}
+
+// takeEarlyCancel counts a cancellation of an unknown job. It returns false if this entry has
+// stored as many as it may, and when the next one may be stored.
+func (f *Front) takeEarlyCancel() (wait time.Duration, ok bool) {
 	now := f.Clock.Now()
 	f.mu.Lock()
-	wait, ok := f.earlyCancels.Take(now, maxEarlyCancels, f.Limits.WithDefaults().EndedJobRetention)
-	f.mu.Unlock()
-	if !ok {
-		f.Tally.Inc("lagoon_early_cancels_refused_total")
-		f.Log.Info(logs.CancelRefused, logs.Fields{"job": id, "after": wait.Milliseconds()})
-		return Outcome{Status: Rejected, Reason: "cancels", After: wait}, false
-	}
-	data, err := work.Encode(work.Job{ID: id, At: f.storeClock(), Refused: true, Cancelled: true})
-	if err != nil {
-		f.Log.Error(logs.Rejected, err, logs.Fields{"job": id, "reason": "invalid"})
-		return Outcome{Status: Rejected, Reason: "invalid"}, false
-	}
-	var existing plat.Row
-	out = f.write(ctx, sched.JobKey(id), data, func(r plat.Row) bool {
-		existing = r
-		return isRejected(r) && !isCancelledEarly(r)
-	})
-	switch {
-	case out.Status == Written:
-		f.Tally.Inc("lagoon_early_cancels_total")
-		f.Log.Info(logs.JobCancelled, logs.Fields{"job": id, "early": true})
-	case out.Status != Stored:
-		return out, false
-	case !isCancelledEarly(existing):
-		return out, true
-	}
-	return Outcome{Status: NotFound}, false
+	defer f.mu.Unlock()
+	return f.earlyCancels.Take(now, maxEarlyCancels, f.Limits.WithDefaults().EndedJobRetention)
 }
 
 // neverReplace says that an existing row is never replaced.
 func neverReplace(plat.Row) bool { return false }
 
-// isCancelledEarly reports whether a row says that its job was cancelled before it was accepted.
-func isCancelledEarly(row plat.Row) bool {
+// earlyCancel returns the content of a row that says that its job was cancelled before it was
+// accepted, and false for any other row.
+func earlyCancel(row plat.Row) (work.Job, bool) {
 	var j work.Job
-	return work.Decode(row.Value, &j) == nil && j.Refused && j.Cancelled
+	err := work.Decode(row.Value, &j)
+	return j, err == nil && j.Refused && j.Cancelled
+}
+
+// wasCancelled reports whether a row says that a job was cancelled before it was accepted. A job
+// with the same ID of another queue in force was not: clients may not keep those of other queues
+// from submitting a job.
+func (f *Front) wasCancelled(j work.Job, row plat.Row) bool {
+	x, ok := earlyCancel(row)
+	return ok && (x.Queue == j.Queue || !f.hasQueue(x.Queue))
 }
 
 // findJob reports whether a job was accepted. If the owner does not know the job, the read of its
--- a/internal/front/cancel_test.go
+++ b/internal/front/cancel_test.go
@@ -50,7 +50,7 @@
 }
 
 func cancelEarlyJob(f *Front) Outcome {
-	return call(f, func(ctx context.Context) Outcome { return f.Cancel(ctx, earlyJob.ID) })
+	return call(f, func(ctx context.Context) Outcome { return f.Cancel(ctx, earlyJob.Queue, earlyJob.ID) })
 }
 
 // expectState checks what entries tell of the job.
@@ -88,6 +88,51 @@
 	}
 }
 
+// TestCancelOfAnotherQueue guards against clients of one queue that keep those of another one from
+// submitting a job, by cancelling it before.
+func TestCancelOfAnotherQueue(t *testing.T) {
+	other := earlyJob
+	other.Queue, other.Spec = "other", "y"
+	submitOther := func(f *Front) Outcome {
+		return call(f, func(ctx context.Context) Outcome { return f.Submit(ctx, other) })
+	}
+	cancelOther := func(f *Front) Outcome {
+		return call(f, func(ctx context.Context) Outcome { return f.Cancel(ctx, other.Queue, other.ID) })
+	}
+	cancelled := Outcome{Status: Rejected, Reason: ReasonCancelled}
+	newEntryWith := func(queues ...string) *Front {
+		f := newEntry(&rows.Store{})
+		c := &work.Config{Version: 1}
+		for _, q := range queues {
+			c.Queues = append(c.Queues, work.Queue{Name: q})
+		}
+		f.config.Store(&loadedConfig{Config: c})
+		return f
+	}
+	t.Run("leaves the job to its queue", func(t *testing.T) {
+		g := NewWithT(t)
+		f := newEntryWith("q", "other")
+		g.Expect(cancelEarlyJob(f)).To(Equal(Outcome{Status: NotFound}))
+		g.Expect(submitOther(f).Status).To(Equal(Stored))
+		g.Expect(submitEarly(f).Status).To(Equal(Rejected), "the cancelled job is not accepted in its place")
+		expectState(g, f, "queued")
+	})
+	t.Run("holds beside that of the queue itself", func(t *testing.T) {
+		g := NewWithT(t)
+		f := newEntryWith("q", "other")
+		g.Expect(cancelEarlyJob(f)).To(Equal(Outcome{Status: NotFound}))
+		g.Expect(cancelOther(f)).To(Equal(Outcome{Status: NotFound}))
+		g.Expect(submitOther(f)).To(Equal(cancelled))
+		g.Expect(submitEarly(f)).To(Equal(cancelled))
+	})
+	t.Run("holds if the queue has got another name", func(t *testing.T) {
+		g := NewWithT(t)
+		f := newEntryWith("other")
+		g.Expect(cancelEarlyJob(f)).To(Equal(Outcome{Status: NotFound}))
+		g.Expect(submitOther(f)).To(Equal(cancelled))
+	})
+}
+
 // TestCancelBesideSubmission guards against a job that runs on after both calls were answered, if
 // its submission and its cancellation reach a store that is slow at the same time.
 func TestCancelBesideSubmission(t *testing.T) {
@@ -183,7 +228,7 @@
 	g := NewWithT(t)
 	store := &rows.Store{}
 	f := newEntry(store)
-	cancel := func(i int) Outcome { return f.Cancel(f.ctx, fmt.Sprintf("%016x", i)) }
+	cancel := func(i int) Outcome { return f.Cancel(f.ctx, earlyJob.Queue, fmt.Sprintf("%016x", i)) }
 	refused := 0
 	for i := range 30_000 {
 		switch out := cancel(i); out.Status {
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -205,11 +205,11 @@
 	var existing plat.Row
 	out := f.writeAll(ctx, writes, func(r plat.Row) bool {
 		existing = r
-		return isRejected(r) && !isCancelledEarly(r)
+		return isRejected(r) && !f.wasCancelled(j, r)
 	})
 	switch {
 	case out.Status != Stored:
-	case isCancelledEarly(existing):
+	case f.wasCancelled(j, existing):
 		return Outcome{Status: Rejected, Reason: ReasonCancelled}
 	case f.isTaken(j, existing):
 		return Outcome{Status: Rejected, Reason: "taken"}
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -25,7 +25,8 @@
 	// the store's clock.
 	Version uint64
 	At      int64
-	// Cancelled says that the job was cancelled before it was accepted.
+	// Cancelled says that the job was cancelled before it was accepted. Queue is empty if the
+	// cancellation holds for all queues.
 	Cancelled bool
 	// The others are the fields of work.Job. The numbers are 0 unless the job was rejected with
 	// Limits.Overload set.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -157,7 +157,7 @@
 	if c.barred[id] || c.isDeleted(id, e.Version) {
 		return
 	}
-	if r := c.rejected[id]; r.Cancelled && e.Version <= r.Version {
+	if r := c.rejected[id]; r.Cancelled && (r.Queue == e.Job.Queue || r.Queue == "") && e.Version <= r.Version {
 		// A job of that ID whose rows were deleted since.
 		return
 	}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -38,7 +38,7 @@
 	// it.
 	Refused bool `cbor:"10,keyasint,omitempty"`
 	// Cancelled says that the job was cancelled before it was accepted. Refused is set too, and
-	// no submission replaces the row.
+	// no submission to the queue replaces the row, or to any queue if Queue is empty.
 	Cancelled bool `cbor:"17,keyasint,omitempty"`
 	// Parts is the number of further rows that hold the job, or 0 if its own row does.
 	Parts int `cbor:"11,keyasint,omitempty"`
