front: clients reach only the jobs of their own queue

Cause: the entry passed only the ID on; the queue that the path selects was compared for submissions alone.

Fix: questions and cancellations name the client's queue. The owner tells a job's queue with its state (Find, beside State for entries of earlier versions), and the row holds it. A job of another queue in force is answered as one that doesn't exist; one of a queue that is not in force stays within reach, as it may have got another name.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -74,7 +74,7 @@
 func (d *Handler) state(ctx context.Context, rc *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	s, out := d.Front.State(ctx, rc.Param("name"))
+	s, out := d.Front.State(ctx, "", rc.Param("name"))
 	if s == "" {
 		writeOutcome(rc, "", out)
 		return
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -75,11 +75,19 @@
 	return p.front.leader.Cancel(id)
 }
 
-// State returns the state of a job, which is empty if the owner does not know it.
+// State returns the state of a job, which is empty if the owner does not know it. Entries of
+// earlier versions call it.
 func (p *Peer) State(id string, out *string) (err error) {
 	defer p.front.guard().Recover("State", &err)
-	s, err := p.front.leader.State(id)
-	*out = s
+	j, err := p.front.leader.Find(id)
+	*out = j.State
+	return err
+}
+
+// Find returns what the owner knows of a job.
+func (p *Peer) Find(id string, out *work.Found) (err error) {
+	defer p.front.guard().Recover("Find", &err)
+	*out, err = p.front.leader.Find(id)
 	return err
 }
 
--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -25,19 +25,23 @@
 // the retention time of ended jobs. Each costs the owner about 300 bytes of memory for that time.
 const maxEarlyCancels = 512
 
-// Cancel cancels a job by storing a row that says so. The queue is that to which the client
-// submits the job, or empty if that is not known. If no such job was accepted, it never will be
-// after the outcome NotFound.
+// Cancel cancels a job of a queue, or of any queue if that is empty, by storing a row that says
+// so. If no such job was accepted, it never will be after the outcome NotFound.
 func (f *Front) Cancel(ctx context.Context, queue, id string) Outcome {
-	row, known, err := f.findJob(ctx, id)
+	of, row, accepted, err := f.findQueue(ctx, id)
 	if err != nil {
 		return Outcome{Status: Rejected, Reason: "store", After: f.outageRetryAfter()}
 	}
-	if !known {
-		out, accepted := f.cancelEarly(ctx, queue, id, row)
-		if !accepted {
+	if !accepted {
+		var out Outcome
+		if out, row = f.cancelEarly(ctx, queue, id, row); out.Status != Stored {
 			return out
 		}
+		of, _ = acceptedIn(row)
+	}
+	if f.isForeign(queue, of) {
+		// The ID is taken, so no job of the client's own queue is accepted under it.
+		return Outcome{Status: NotFound}
 	}
 	out := f.write(ctx, sched.CancelKey(id), []byte{1}, neverReplace)
 	if out.Status == Written {
@@ -52,20 +56,20 @@
 }
 
 // cancelEarly stores the cancellation of a job that was not accepted, given the row that was read
-// under its key. It returns true if the job has been accepted in the meantime. Otherwise the
-// status is NotFound once it can't be accepted any more.
-func (f *Front) cancelEarly(ctx context.Context, queue, id string, row plat.Row) (out Outcome, accepted bool) {
+// under its key. The status is NotFound once the job can't be accepted any more. It is Stored if
+// the job has been accepted in the meantime, by the row that is returned.
+func (f *Front) cancelEarly(ctx context.Context, queue, id string, row plat.Row) (Outcome, plat.Row) {
 	counted := false
 	for {
 		earlier, ok := earlyCancel(row)
 		if ok && (earlier.Queue == queue || earlier.Queue == "") {
-			return Outcome{Status: NotFound}, false
+			return Outcome{Status: NotFound}, row
 		}
 		if !counted {
 			if wait, ok := f.takeEarlyCancel(); !ok {
 				f.Tally.Inc("lagoon_early_cancels_refused_total")
 				f.Log.Info(logs.CancelRefused, logs.Fields{"job": id, "queue": queue, "after": wait.Milliseconds()})
-				return Outcome{Status: Rejected, Reason: "cancels", After: wait}, false
+				return Outcome{Status: Rejected, Reason: "cancels", After: wait}, row
 			}
 			counted = true
 		}
@@ -76,22 +80,20 @@
 		data, err := work.Encode(work.Job{ID: id, Queue: queue, At: f.storeClock(), Refused: true, Cancelled: true})
 		if err != nil {
 			f.Log.Error(logs.Rejected, err, logs.Fields{"job": id, "reason": "invalid"})
-			return Outcome{Status: Rejected, Reason: "invalid"}, false
+			return Outcome{Status: Rejected, Reason: "invalid"}, row
 		}
 		replaced := row.Version
-		out = f.write(ctx, sched.JobKey(id), data, func(r plat.Row) bool {
+		out := f.write(ctx, sched.JobKey(id), data, func(r plat.Row) bool {
 			row = r
 			return r.Version == replaced
 		})
-		switch {
-		case out.Status == Written:
+		if out.Status == Written {
 			f.Tally.Inc("lagoon_early_cancels_total")
 			f.Log.Info(logs.JobCancelled, logs.Fields{"job": id, "queue": queue, "early": true})
-			return Outcome{Status: NotFound}, false
-		case out.Status != Stored:
-			return out, false
-		case !isRejected(row):
-			return out, true
+			return Outcome{Status: NotFound}, row
+		}
+		if _, accepted := acceptedIn(row); accepted || out.Status != Stored {
+			return out, row
 		}
 	}
 }
@@ -124,23 +126,35 @@
 	return ok && (x.Queue == j.Queue || !f.hasQueue(x.Queue))
 }
 
-// findJob reports whether a job was accepted. If the owner does not know the job, the read of its
-// row is retried until the store answers or the caller's context ends; the row is returned.
-func (f *Front) findJob(ctx context.Context, id string) (row plat.Row, accepted bool, err error) {
-	if s, err := f.ownerState(ctx, id); err == nil && s != "" {
-		return plat.Row{}, true, nil
+// acceptedIn reports whether a row accepts a job, and for which queue. The queue is empty if the row
+// can't be read.
+func acceptedIn(row plat.Row) (queue string, accepted bool) {
+	var j work.Job
+	if err := work.Decode(row.Value, &j); err != nil {
+		j = work.Job{}
+	}
+	return j.Queue, row.Version != 0 && !j.Refused
+}
+
+// findQueue returns the queue of an accepted job, or the row under its key if it was not accepted.
+// If the owner does not know the job, the read of the row is retried until the store answers or
+// the caller's context ends.
+func (f *Front) findQueue(ctx context.Context, id string) (queue string, row plat.Row, accepted bool, err error) {
+	if j, err := f.askFor(ctx, id); err == nil && j.State != "" {
+		return j.Queue, plat.Row{}, true, nil
 	}
 	for {
 		c, cancel := f.withTimeout(ctx, tryTimeout)
 		row, err := f.read(c, sched.JobKey(id))
 		cancel()
 		if err == nil {
-			return row, row.Version != 0 && !isRejected(row), nil
+			queue, accepted := acceptedIn(row)
+			return queue, row, accepted, nil
 		}
 		f.storeFailed("read job", err)
 		clock.Sleep(ctx, 2*firstRetryDelay)
 		if ctx.Err() != nil {
-			return plat.Row{}, false, ctx.Err()
+			return "", plat.Row{}, false, ctx.Err()
 		}
 	}
 }
--- a/internal/front/cancel_test.go
+++ b/internal/front/cancel_test.go
@@ -55,9 +55,9 @@
 
 // expectState checks what entries tell of the job.
 func expectState(g *WithT, f *Front, state string) {
-	s, err := f.readState(f.ctx, earlyJob.ID)
+	j, err := f.readState(f.ctx, earlyJob.ID)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(s).To(Equal(state))
+	g.Expect(j.State).To(Equal(state))
 }
 
 // TestSubmissionAfterItsCancel guards against a job that is accepted after its cancellation was
@@ -291,7 +291,8 @@
 			}
 			calls.Wait()
 			time.Sleep(2 * maxStoreDelay)
-			state, err := newEntry(store).readState(context.Background(), earlyJob.ID)
+			found, err := newEntry(store).readState(context.Background(), earlyJob.ID)
+			state := found.State
 			g := NewWithT(t)
 			g.Expect(err).NotTo(HaveOccurred())
 			if cancelled.has(NotFound) {
--- a/internal/front/decline_test.go
+++ b/internal/front/decline_test.go
@@ -43,9 +43,9 @@
 		return f.write(context.Background(), key, data, isRejected)
 	}
 	state := func() string {
-		s, err := f.readState(context.Background(), job.ID)
+		j, err := f.readState(context.Background(), job.ID)
 		Expect(err).NotTo(HaveOccurred())
-		return s
+		return j.State
 	}
 
 	It("has no state, and may be submitted again", func() {
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -305,53 +305,55 @@
 // ownerTimeout bounds a question to the owner about a job.
 const ownerTimeout = 250 * time.Millisecond
 
-// ownerState asks the owner for the state of a job. The state is empty if the owner
-// does not know the job.
-func (f *Front) ownerState(ctx context.Context, id string) (string, error) {
-	if s, err := f.leader.State(id); err == nil {
-		return s, nil
+// askFor asks the owner for a job.
+func (f *Front) askFor(ctx context.Context, id string) (work.Found, error) {
+	if j, err := f.leader.Find(id); err == nil {
+		return j, nil
 	}
 	addr, _ := f.leader.Owner()
 	if addr == "" || addr == f.server.Addr() {
-		return "", errNoOwner
+		return work.Found{}, errNoOwner
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	var s string
-	err := f.pool.Get(addr).Call(ctx, work.EntryService+".State", id, &s)
-	return s, err
+	var j work.Found
+	err := f.pool.Get(addr).Call(ctx, work.EntryService+".Find", id, &j)
+	return j, err
 }
 
 var errNoOwner = errors.New("the owner is not known")
 
-// State returns the state of a job. If there is no such job, or neither the owner nor
-// the store answers, the state is empty and the outcome says why.
-func (f *Front) State(ctx context.Context, id string) (string, Outcome) {
-	if s, err := f.ownerState(ctx, id); err == nil && s != "" {
-		return s, Outcome{}
-	}
+// State returns the state of a job of a queue, or of any queue if that is empty. If there is no
+// such job, or neither the owner nor the store answers, the state is empty and the outcome says
+// why.
+func (f *Front) State(ctx context.Context, queue, id string) (string, Outcome) {
 	for {
-		s, err := f.readState(ctx, id)
-		if err == nil && s == "" {
-			return "", Outcome{Status: NotFound}
+		j, err := f.askFor(ctx, id)
+		if err != nil || j.State == "" {
+			j, err = f.readState(ctx, id)
 		}
-		if err == nil {
-			return s, Outcome{}
+		switch {
+		case err == nil && (j.State == "" || f.isForeign(queue, j.Queue)):
+			return "", Outcome{Status: NotFound}
+		case err == nil:
+			return j.State, Outcome{}
 		}
 		f.storeFailed("read state", err)
 		clock.Sleep(ctx, 2*firstRetryDelay)
 		if ctx.Err() != nil {
 			return "", Outcome{Status: Rejected, Reason: "store", After: f.outageRetryAfter()}
 		}
-		if s, err := f.ownerState(ctx, id); err == nil && s != "" {
-			return s, Outcome{}
-		}
 	}
 }
 
-// readState reads the state of a job from its rows. It is empty if the job was not
-// accepted.
-func (f *Front) readState(ctx context.Context, id string) (string, error) {
+// isForeign reports whether a job of one queue is out of reach for the clients of another one. A
+// queue that is not in force any more may have got another name since.
+func (f *Front) isForeign(clients, job string) bool {
+	return clients != "" && clients != job && f.hasQueue(job)
+}
+
+// readState reads a job from its rows.
+func (f *Front) readState(ctx context.Context, id string) (work.Found, error) {
 	ctx, cancel := f.withTimeout(ctx, tryTimeout)
 	defer cancel()
 	keys := []string{sched.JobKey(id), sched.StateKey(id), sched.CancelKey(id)}
@@ -362,18 +364,19 @@
 		all.Go(func() { found[i], errs[i] = f.read(ctx, k) })
 	}
 	all.Wait()
-	job, state, cancelled := found[0], found[1], found[2]
-	if err := errors.Join(errs...); err != nil || job.Version == 0 || isRejected(job) {
-		return "", err
+	row, state, cancelled := found[0], found[1], found[2]
+	queue, accepted := acceptedIn(row)
+	if err := errors.Join(errs...); err != nil || !accepted {
+		return work.Found{}, err
 	}
 	var st work.State
 	if state.Version != 0 {
 		var err error
 		if st, err = work.DecodeState(state.Value); err != nil {
-			return "", fault.At("decode state", id).Wrap(err)
+			return work.Found{}, fault.At("decode state", id).Wrap(err)
 		}
 	}
-	return sched.JobState(st, cancelled.Version != 0), nil
+	return work.Found{State: sched.JobState(st, cancelled.Version != 0), Queue: queue}, nil
 }
 
 // pendingMaxAge is how old an owner's count of pending jobs may be that is passed on.
--- a/internal/front/taken_test.go
+++ b/internal/front/taken_test.go
@@ -8,11 +8,22 @@
 	. "github.com/onsi/gomega"
 
 	"lagoonrack/internal/leader"
+	"lagoonrack/internal/plat"
+	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/sched"
 	"lagoonrack/internal/stand/rows"
 	"lagoonrack/internal/work"
 )
 
+// findingOwner knows every job as one of queue q1 that runs.
+type findingOwner struct{}
+
+// Find returns what it knows of a job.
+func (findingOwner) Find(_ string, out *work.Found) error {
+	*out = work.Found{State: "running", Queue: "q1"}
+	return nil
+}
+
 // The second job was answered with success and not stored, and never ran.
 var _ = Describe("a job with the ID of a job of another queue", func() {
 	var f *Front
@@ -43,6 +54,57 @@
 		Expect(f.storeRejection(context.Background(), second, "full", time.Second)).To(Equal(Outcome{Status: Rejected, Reason: "taken"}))
 		expectFirst()
 	})
+	expectUntouched := func(state string) {
+		GinkgoHelper()
+		Expect(f.Cancel(context.Background(), "q2", first.ID)).To(Equal(Outcome{Status: NotFound}))
+		s, out := f.State(context.Background(), "q2", first.ID)
+		Expect(s).To(BeEmpty())
+		Expect(out).To(Equal(Outcome{Status: NotFound}))
+		s, _ = f.State(context.Background(), "q1", first.ID)
+		Expect(s).To(Equal(state))
+		row, _, err := f.Rows.Read(context.Background(), sched.CancelKey(first.ID))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(row.Version).To(BeZero())
+		expectFirst()
+	}
+	// Clients of the other queue got the state of the first job, and cancelled it.
+	It("is none for the clients of the other queue", func() {
+		expectUntouched("queued")
+	})
+	It("is none for the clients of the other queue if the owner answers", func() {
+		for _, s := range []struct {
+			to       **rpcs.Server
+			receiver any
+		}{{&f.server, &Peer{front: f}}, {new(*rpcs.Server), findingOwner{}}} {
+			server, err := rpcs.Listen("127.0.0.1:0", map[string]any{work.EntryService: s.receiver})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			*s.to = server
+			f.leader = &leader.Leader{Clock: f.Clock}
+			f.leader.LearnOwner(4, server.Addr())
+		}
+		expectUntouched("running")
+	})
+	It("is none for the clients of the other queue if it is accepted while they cancel it", func() {
+		f.Rows = (&rows.Store{}).Rows()
+		read := f.Rows.Read
+		f.Rows.Read = func(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
+			row, s, err := read(ctx, key)
+			if row.Version == 0 && key == sched.JobKey(first.ID) {
+				Expect(submit(first).Status).To(Equal(Stored))
+			}
+			return row, s, err
+		}
+		expectUntouched("queued")
+	})
+	It("is within reach of all clients once its queue is not in force any more, and of operators", func() {
+		s, _ := f.State(context.Background(), "", first.ID)
+		Expect(s).To(Equal("queued"))
+		f.config.Store(&loadedConfig{Config: &work.Config{Version: 2, Queues: []work.Queue{{Name: "q2"}}}})
+		s, _ = f.State(context.Background(), "q2", first.ID)
+		Expect(s).To(Equal("queued"))
+		Expect(f.Cancel(context.Background(), "q2", first.ID).Status).To(Equal(Stored))
+	})
 	It("is the same job if only the name of its queue has changed", func() {
 		renamed := first
 		renamed.Queue = "q2"
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -88,16 +88,15 @@
 	}
 }
 
-// State returns the state of a job, or an empty string if the owner does not
-// know the job.
-func (l *Leader) State(id string) (string, error) {
+// Find returns what the owner knows of a job.
+func (l *Leader) Find(id string) (work.Found, error) {
 	t := l.currentTerm()
 	if t == nil {
-		return "", ErrNotOwner
+		return work.Found{}, ErrNotOwner
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.State(id), nil
+	return t.core.Find(id), nil
 }
 
 // Pending returns for each queue the number of jobs of which no task was started, as of
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -291,10 +291,15 @@
 
 // State returns the state of a job that clients may see, or "" for an unknown job.
 func (c *Core) State(id string) string {
+	return c.Find(id).State
+}
+
+// Find returns the state of a job that clients may see, and its queue.
+func (c *Core) Find(id string) work.Found {
 	if j := c.jobs[id]; j != nil {
-		return j.visibleState
+		return work.Found{State: j.visibleState, Queue: j.Queue}
 	}
-	return ""
+	return work.Found{}
 }
 
 // Pending counts, by queue, the jobs of which no task was started.
--- a/internal/work/messages.go
+++ b/internal/work/messages.go
@@ -215,6 +215,13 @@
 	Version uint64
 }
 
+// Found is what is known of a job. The state is empty if there is no such job.
+type Found struct {
+	State string `cbor:"1,keyasint"`
+	// Queue is the queue that the job was submitted to.
+	Queue string `cbor:"2,keyasint"`
+}
+
 // Pong is an entry's answer to a Ping. Durations are in milliseconds.
 type Pong struct {
 	// Owns is the term in which the entry owns the cell, or 0.
