front: tests of cancellations are free of data races

One lock for the source, and an entry of its own for the spec. Checks and seeds are as they were.

go test -race -count=1 ./internal/front: failed before, passes.

--- a/internal/front/cancel_test.go
+++ b/internal/front/cancel_test.go
@@ -262,7 +262,7 @@
 func TestRandomSubmissionsAndCancels(t *testing.T) {
 	for seed := range uint64(400) {
 		synctest.Test(t, func(t *testing.T) {
-			r := rand.New(rand.NewPCG(seed, 1))
+			r := &lockedRand{Rand: rand.New(rand.NewPCG(seed, 1))}
 			store := &rows.Store{}
 			// What is still under way ends within the bubble.
 			defer time.Sleep(2 * maxStoreDelay)
@@ -326,18 +326,26 @@
 	return slices.ContainsFunc(a.given, func(o Outcome) bool { return o.Status == s })
 }
 
+// lockedRand is a source of random numbers for several goroutines.
+type lockedRand struct {
+	mu sync.Mutex
+	*rand.Rand
+}
+
+// IntN returns a random number below n.
+func (r *lockedRand) IntN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Rand.IntN(n)
+}
+
 // maxStoreDelay bounds how late a call of unreliableStore takes effect.
 const maxStoreDelay = 1500 * time.Millisecond
 
 // unreliableStore returns a store that rejects some calls, answers some late and some not at all.
 // Each takes effect at most maxStoreDelay after it was sent, whether or not its caller waits.
-func unreliableStore(s *rows.Store, r *rand.Rand) plat.Rows {
-	var mu sync.Mutex
-	intn := func(n int) int {
-		mu.Lock()
-		defer mu.Unlock()
-		return r.IntN(n)
-	}
+func unreliableStore(s *rows.Store, r *lockedRand) plat.Rows {
+	intn := r.IntN
 	// carry does a call and returns whether it is rejected, and whether its answer arrives.
 	carry := func(ctx context.Context, do func()) error {
 		if intn(8) == 0 {
--- a/internal/front/taken_test.go
+++ b/internal/front/taken_test.go
@@ -27,14 +27,17 @@
 // The second job was answered with success and not stored, and never ran.
 var _ = Describe("a job with the ID of a job of another queue", func() {
 	var f *Front
+	var store *rows.Store
+	config := &loadedConfig{Config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q1"}, {Name: "q2"}}}}
 	first := work.Job{ID: "00000000000000a1", Queue: "q1", Service: "s", Spec: "first", Steps: []work.Step{{Count: 1, Estimate: 100}}}
 	second := first
 	second.Queue, second.Spec = "q2", "second"
 	submit := func(j work.Job) Outcome { return f.Submit(context.Background(), j) }
 	BeforeEach(func() {
-		f = newFront(&rows.Store{})
+		store = &rows.Store{}
+		f = newFront(store)
 		f.leader = &leader.Leader{Clock: f.Clock}
-		f.config.Store(&loadedConfig{Config: &work.Config{Version: 1, Queues: []work.Queue{{Name: "q1"}, {Name: "q2"}}}})
+		f.config.Store(config)
 		Expect(submit(first).Status).To(Equal(Stored))
 	})
 	expectFirst := func() {
@@ -72,6 +75,8 @@
 		expectUntouched("queued")
 	})
 	It("is none for the clients of the other queue if the owner answers", func() {
+		f = newFront(store)
+		f.config.Store(config)
 		for _, s := range []struct {
 			to       **rpcs.Server
 			receiver any
@@ -86,7 +91,9 @@
 		expectUntouched("running")
 	})
 	It("is none for the clients of the other queue if it is accepted while they cancel it", func() {
-		f.Rows = (&rows.Store{}).Rows()
+		f = newFront(&rows.Store{})
+		f.leader = &leader.Leader{Clock: f.Clock}
+		f.config.Store(config)
 		read := f.Rows.Read
 		f.Rows.Read = func(ctx context.Context, key string) (plat.Row, plat.Stamp, error) {
 			row, s, err := read(ctx, key)
