front: one way to give an entry an owner in tests

The specs of the count of pending jobs and of jobs of other queues repeated the same set-up of two servers. learnOwner serves both; assertions are as they were.

go test -race -count=1 ./internal/front passes; the linter finds nothing there.

--- a/internal/front/pending_test.go
+++ b/internal/front/pending_test.go
@@ -22,6 +22,21 @@
 	return nil
 }
 
+// learnOwner makes an entry go by an owner that answers its calls with the methods of a receiver.
+func learnOwner(f *Front, owner any) {
+	GinkgoHelper()
+	listen := func(receiver any) *rpcs.Server {
+		GinkgoHelper()
+		server, err := rpcs.Listen("127.0.0.1:0", map[string]any{work.EntryService: receiver})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		return server
+	}
+	f.server = listen(&Peer{front: f})
+	f.leader = &leader.Leader{Clock: f.Clock}
+	f.leader.LearnOwner(4, listen(owner).Addr())
+}
+
 // An entry that has just started, or that no owner answers, knows of no pending jobs. It
 // must not say that there are none.
 var _ = Describe("the count of pending jobs at an entry that is not the owner", func() {
@@ -55,17 +70,7 @@
 	})
 	It("is asked of the owner that the store names, although this entry has not met it", func() {
 		f := newFront(&rows.Store{})
-		for _, s := range []struct {
-			to       **rpcs.Server
-			receiver any
-		}{{&f.server, &Peer{front: f}}, {new(*rpcs.Server), fixedOwner{}}} {
-			server, err := rpcs.Listen("127.0.0.1:0", map[string]any{work.EntryService: s.receiver})
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(server.Close)
-			*s.to = server
-			f.leader = &leader.Leader{}
-			f.leader.LearnOwner(4, server.Addr())
-		}
+		learnOwner(f, fixedOwner{})
 		n, ok := f.Pending(context.Background(), "q")
 		Expect(ok).To(BeTrue())
 		Expect(n).To(Equal(3))
--- a/internal/front/taken_test.go
+++ b/internal/front/taken_test.go
@@ -9,7 +9,6 @@
 
 	"lagoonrack/internal/leader"
 	"lagoonrack/internal/plat"
-	"lagoonrack/internal/rpcs"
 	"lagoonrack/internal/sched"
 	"lagoonrack/internal/stand/rows"
 	"lagoonrack/internal/work"
@@ -77,17 +76,7 @@
 	It("is none for the clients of the other queue if the owner answers", func() {
 		f = newFront(store)
 		f.config.Store(config)
-		for _, s := range []struct {
-			to       **rpcs.Server
-			receiver any
-		}{{&f.server, &Peer{front: f}}, {new(*rpcs.Server), findingOwner{}}} {
-			server, err := rpcs.Listen("127.0.0.1:0", map[string]any{work.EntryService: s.receiver})
-			Expect(err).NotTo(HaveOccurred())
-			DeferCleanup(server.Close)
-			*s.to = server
-			f.leader = &leader.Leader{Clock: f.Clock}
-			f.leader.LearnOwner(4, server.Addr())
-		}
+		learnOwner(f, findingOwner{})
 		expectUntouched("running")
 	})
 	It("is none for the clients of the other queue if it is accepted while they cancel it", func() {
